Weigh replicas by their health, leave silent ones, and renew connections to peers

Cause: a replica that turned slow, failed calls or fell silent went on getting its share, and a connection between processes that falls silent was kept for good. Change: running means of latency and failures weigh placing; a call whose replica has answered nobody since is sent elsewhere where it may be repeated; connections to peers are replaced every 2 s.

--- a/gentianworks/core/events/gateway.py
+++ b/gentianworks/core/events/gateway.py
@@ -81,6 +81,13 @@
     attempt: AttemptId
 
 
+@frozen
+class SilenceDue(Event):
+    """Report that an attempt should have begun to answer by now."""
+
+    attempt: AttemptId
+
+
 class ReplicaFailure(Enum):
     """Say how a call to a replica failed."""
 
--- a/gentianworks/core/gateway/attempts.py
+++ b/gentianworks/core/gateway/attempts.py
@@ -13,6 +13,7 @@
     ReplicaFailed,
     ReplicaFailure,
     ReplicaPiece,
+    SilenceDue,
 )
 from gentianworks.core.gateway.admission import note_duration
 from gentianworks.core.gateway.serving import RETRY_AFTER, refuse, send_next
@@ -35,6 +36,8 @@
     if gateway is None or exchange is None or exchange.replica is None:
         return []
     answer = event.answer
+    exchange.has_head = True
+    _note_health(exchange, answer, gateway, now)
     _note_load(exchange, answer, gateway, now)
     if answer.is_other:
         gateway.book.mark_stranger(exchange.replica.name)
@@ -79,6 +82,38 @@
     return [StartAnswer(exchange.id, answer.status, answer.headers, name)]
 
 
+def _note_health(
+    exchange: GatewayExchange, answer: ReplicaAnswer, gateway: GatewayState, now: float
+) -> None:
+    if exchange.replica is None or answer.is_other:
+        return
+    gateway.health.note(
+        exchange.replica.name,
+        exchange.service,
+        now - exchange.sent_at,
+        answer.status >= MIN_STATUS_FAILURE,
+        now,
+    )
+
+
+@reduce.register
+def _(event: SilenceDue, state: State, now: float) -> list[Effect]:
+    """Leave a replica that has answered nobody since the call was sent to it."""
+    gateway = state.gateway
+    exchange = gateway.find_by_attempt(event.attempt) if gateway else None
+    if gateway is None or exchange is None or exchange.replica is None:
+        return []
+    name = exchange.replica.name
+    if exchange.has_head or gateway.health.has_answered_since(name, exchange.sent_at):
+        return []
+    gateway.avoidance.note_failure(name, now)
+    if not _may_repeat(exchange, gateway):
+        return []
+    detail = f"the replica was silent for {now - exchange.sent_at:.2f} s"
+    drop = DropCall(exchange.attempt)
+    return [drop, *lose(exchange, RunState.UNKNOWN, detail, state, now)]
+
+
 def _note_load(
     exchange: GatewayExchange, answer: ReplicaAnswer, gateway: GatewayState, now: float
 ) -> None:
@@ -96,6 +131,10 @@
         return []
     if event.first >= 0 and event.first <= exchange.last_event:
         return []
+    if event.first > exchange.last_event + 1 and exchange.last_event >= 0:
+        detail = f"event {event.first} came after {exchange.last_event}"
+        drop = DropCall(exchange.attempt)
+        return [drop, *lose(exchange, RunState.RAN, detail, state, now)]
     if event.last >= 0:
         exchange.last_event = event.last
     return [RelayPiece(exchange.id, event.data)]
--- a/gentianworks/core/gateway/listing.py
+++ b/gentianworks/core/gateway/listing.py
@@ -33,6 +33,7 @@
     changed = [item for item in told.values() if known.get(item.name) != item]
     gone = [item for item in known.values() if item.name not in told]
     gateway.book.take(event.replicas, now)
+    gateway.health.forget(set(told))
     logs: list[Effect] = [
         LogEvent(
             "GW5102",
--- a/gentianworks/core/gateway/placing.py
+++ b/gentianworks/core/gateway/placing.py
@@ -15,8 +15,8 @@
 from gentianworks.core.placement import order_by_score
 from gentianworks.core.types import ServiceName
 
-SPILL_MULTIPLE = 1.3  # of the mean load; well under the bound of twice the mean
-SPILL_FLOOR = 2  # calls; below this a difference in load does not matter
+SPILL_MULTIPLE = 1.6  # of the mean load; keeps clear of the bound of twice the mean
+SPILL_FLOOR = 2.0  # calls; the bound allows three beside its multiple
 
 
 def choose_replica(
@@ -33,16 +33,21 @@
     candidates = sound or fresh
     if not candidates:
         return None
-    loads = {
-        item.name: gateway.book.get_load(item.name).estimate(now) for item in candidates
-    }
+    loads = {item.name: _weigh(item, gateway, now) for item in candidates}
     if call.subject:
         return _choose_home(call.subject, candidates, loads)
     return _choose_idlest(call.request_id, candidates, loads)
 
 
+def _weigh(replica: Replica, gateway: GatewayState, now: float) -> float:
+    """Return the load that one more call would make, weighed by the health."""
+    load = gateway.book.get_load(replica.name).estimate(now)
+    cost = gateway.health.find_cost(replica.name, replica.service, now)
+    return (load + 1) * cost
+
+
 def _choose_home(
-    subject: str, candidates: list[Replica], loads: dict[ReplicaName, int]
+    subject: str, candidates: list[Replica], loads: dict[ReplicaName, float]
 ) -> Replica:
     """Return the first replica in a subject's order that is not overloaded."""
     bound = SPILL_MULTIPLE * sum(loads.values()) / len(loads) + SPILL_FLOOR
@@ -54,7 +59,7 @@
 
 
 def _choose_idlest(
-    request_id: str, candidates: list[Replica], loads: dict[ReplicaName, int]
+    request_id: str, candidates: list[Replica], loads: dict[ReplicaName, float]
 ) -> Replica:
     """Return the replica with the most room; equal ones take turns by request."""
     order = order_by_score(request_id, candidates)
--- a/gentianworks/core/gateway/serving.py
+++ b/gentianworks/core/gateway/serving.py
@@ -8,7 +8,12 @@
 from gentianworks.core.effects.callers import AbortAnswer, RefuseRequest
 from gentianworks.core.effects.gateway import CallReplica, DropCall
 from gentianworks.core.effects.lifecycle import SetTimer
-from gentianworks.core.events.gateway import CallArrived, CallExpired, CallLeft
+from gentianworks.core.events.gateway import (
+    CallArrived,
+    CallExpired,
+    CallLeft,
+    SilenceDue,
+)
 from gentianworks.core.gateway.admission import find_retry_after
 from gentianworks.core.gateway.calls import Call
 from gentianworks.core.gateway.placing import choose_replica
@@ -81,7 +86,7 @@
     retry_after = find_retry_after(exchange, replica, gateway, now)
     if retry_after:
         return refuse(exchange, _describe_full(exchange, retry_after), gateway)
-    return [send_attempt(exchange, replica, gateway, state, now)]
+    return send_attempt(exchange, replica, gateway, state, now)
 
 
 def send_attempt(
@@ -90,17 +95,19 @@
     gateway: GatewayState,
     state: State,
     now: float,
-) -> Effect:
-    """Return the effect that sends a call to a replica."""
+) -> list[Effect]:
+    """Return the effects that send a call to a replica and watch for its answer."""
     gateway.drop_attempt(exchange)
     exchange.attempt = state.create_id()
     exchange.attempts += 1
     exchange.replica = replica
     exchange.sent_at = now
+    exchange.has_head = False
     exchange.tried.add(replica.name)
     gateway.book.get_load(replica.name).own += 1
     gateway.exchange_of_attempt[exchange.attempt] = exchange.id
-    return CallReplica(
+    silence = gateway.health.find_silence(exchange.service)
+    sent = CallReplica(
         exchange=exchange.id,
         attempt=exchange.attempt,
         replica=replica,
@@ -111,6 +118,7 @@
         resume_after=exchange.last_event,
         repetition=exchange.route.repetition,
     )
+    return [sent, SetTimer(now + silence, SilenceDue(exchange.attempt))]
 
 
 def refuse(
--- a/gentianworks/core/gateway/state.py
+++ b/gentianworks/core/gateway/state.py
@@ -6,6 +6,7 @@
 
 from gentianworks.core.avoidance import Avoidance
 from gentianworks.core.gateway.calls import Call
+from gentianworks.core.gateway.health import HealthBook
 from gentianworks.core.gateway.replicas import Replica, ReplicaBook, ReplicaName
 from gentianworks.core.gateway.tables import Route, RouteTable
 from gentianworks.core.retry import RetryBudget
@@ -20,8 +21,10 @@
 class GatewayExchange:
     """Hold one call and the state of its answer.
 
-    Times are in seconds of the process's clock. `last_event` numbers the last event
-    that the caller has; `run_state` is what is known of the ended attempts.
+    Times are in seconds of the process's clock. `has_head` tells that the present
+    attempt has begun to answer, `has_started` that the caller has its head;
+    `last_event` numbers the last event that the caller has; `run_state` is what is
+    known of the ended attempts.
     """
 
     id: ExchangeId
@@ -35,6 +38,7 @@
     attempt: AttemptId = ""
     replica: Replica | None = None
     sent_at: float = 0.0
+    has_head: bool = False
     attempts: int = 0
     tried: set[ReplicaName] = field(factory=set)
     has_started: bool = False
@@ -55,6 +59,7 @@
     exchange_of_attempt: dict[AttemptId, ExchangeId] = field(factory=dict)
     book: ReplicaBook = field(factory=ReplicaBook)
     avoidance: Avoidance = field(factory=Avoidance)
+    health: HealthBook = field(factory=HealthBook)
     budgets: dict[ServiceName, RetryBudget] = field(factory=dict)
     durations: dict[ServiceName, float] = field(factory=dict)
     listing_interval: float = 1.0
--- a/gentianworks/peers/sockets.py
+++ b/gentianworks/peers/sockets.py
@@ -9,6 +9,7 @@
 import asyncio
 import logging
 import select
+from collections import deque
 
 import pynng
 from attrs import define
@@ -23,6 +24,7 @@
 RECEIVE_BUFFER_MESSAGES = 1024
 RECEIVE_BATCH_MESSAGES = 64
 SENDER_IDLE_TIMEOUT = 60.0  # seconds
+RETIRED_LINGER = 0.5  # seconds; lets what was sent on a replaced connection leave
 RECONNECT_MIN_MS = 50
 RECONNECT_MAX_MS = 1000
 THREADS_OF_KIND = {
@@ -38,17 +40,26 @@
 @define
 class _Sender:
     socket: pynng.Pair1
+    opened_at: float
     used_at: float
 
 
 class PeerSockets:
-    """Receive messages on one address and send them to any other."""
+    """Receive messages on one address and send them to any other.
 
-    def __init__(self, address: str, codec: MessageCodec) -> None:
+    A connection to a peer is replaced after `lifetime` seconds, so that one which has
+    fallen silent without a reset holds nothing up for longer.
+    """
+
+    def __init__(
+        self, address: str, codec: MessageCodec, lifetime: float = float("inf")
+    ) -> None:
         _limit_threads()
         self._address = address
         self._codec = codec
+        self._lifetime = lifetime
         self._senders: dict[str, _Sender] = {}
+        self._retired: deque[_Sender] = deque()
         self.sent = PeerTraffic()
         self.received = PeerTraffic()
         self.refused_messages = 0
@@ -120,9 +131,12 @@
 
     def _find_sender(self, address: str, now: float) -> _Sender:
         sender = self._senders.get(address)
+        if sender is not None and now - sender.opened_at > self._lifetime:
+            self._retired.append(self._senders.pop(address))
+            sender = None
         if sender is None:
             self._close_idle(now)
-            sender = self._senders[address] = _Sender(_dial(address), now)
+            sender = self._senders[address] = _Sender(_dial(address), now, now)
         sender.used_at = now
         return sender
 
@@ -131,10 +145,12 @@
             if now - sender.used_at > SENDER_IDLE_TIMEOUT:
                 sender.socket.close()
                 del self._senders[address]
+        while self._retired and now - self._retired[0].used_at > RETIRED_LINGER:
+            self._retired.popleft().socket.close()
 
     def close(self) -> None:
         """Close every socket that sends."""
-        for sender in self._senders.values():
+        for sender in (*self._senders.values(), *self._retired):
             sender.socket.close()
 
 
--- a/gentianworks/platform/runner.py
+++ b/gentianworks/platform/runner.py
@@ -47,6 +47,8 @@
 # The platform gives its processes no secret; its network is theirs alone.
 PEER_KEY = b"gentianworks"
 INCARNATION_BITS = 48
+# Open connections may fall silent without a reset; the rules allow for 3 s of it.
+PEER_LIFETIME = 2.0  # seconds
 DRAIN_TIME = 2.5  # seconds; the balancer asks each second and needs two refusals
 LISTING_SHARE = 0.5  # of the list's rate, so that restarts find room
 MIN_LISTING_INTERVAL = 1.0  # seconds; a third of the time that drains allow
@@ -65,7 +67,7 @@
         raise SystemExit(1) from error
     stored = open_log(settings.data_folder) if role is Role.CONTROL else None
     state = build_state(role, settings)
-    peers = PeerSockets(state.node.peer_address, MessageCodec(PEER_KEY))
+    peers = PeerSockets(state.node.peer_address, MessageCodec(PEER_KEY), PEER_LIFETIME)
     async with anyio.create_task_group() as tasks:
         process = Process(state=state, tasks=tasks)
         process.add_service(peers)
--- /dev/null
+++ b/gentianworks/tests/gateways.py
@@ -0,0 +1,126 @@
+"""Gateways: states, calls and answers that the tests of the gateway share."""
+
+from __future__ import annotations
+
+from typing import Any, TypeVar
+
+from attrs import evolve
+
+from gentianworks.core.effects.base import Effect
+from gentianworks.core.effects.gateway import CallReplica
+from gentianworks.core.events.gateway import (
+    CallArrived,
+    ReplicaAnswer,
+    ReplicaAnswered,
+    ReplicasListed,
+)
+from gentianworks.core.gateway.calls import Call, PromptPart
+from gentianworks.core.gateway.replicas import Replica
+from gentianworks.core.gateway.state import GatewayState
+from gentianworks.core.gateway.tables import (
+    GatewayService,
+    KeyHolder,
+    Repetition,
+    Route,
+    RouteTable,
+    Share,
+    digest_key,
+)
+from gentianworks.core.handlers import reduce
+from gentianworks.core.state import State
+from gentianworks.core.types import Node, Role
+
+NOW = 1000.0
+KEY = "parish-key"
+E = TypeVar("E", bound=Effect)
+
+CHAT = Route(
+    name="chat",
+    host="a.example",
+    path_prefix="/chat/",
+    shares=(Share("engines"),),
+    repetition=Repetition.RESUMABLE,
+    is_stream=True,
+    timeout=5.0,
+    latency_objective=0.4,
+    max_attempts=2,
+)
+PAYMENT = evolve(
+    CHAT,
+    name="payment",
+    path_prefix="/pay/",
+    shares=(Share("books"),),
+    repetition=Repetition.ONCE,
+    is_stream=False,
+    timeout=1.5,
+)
+READ = evolve(PAYMENT, name="read", path_prefix="/read/", repetition=Repetition.ANY)
+TABLE = RouteTable(
+    revision=3,
+    routes=(CHAT, PAYMENT, READ),
+    services=(GatewayService("engines", "/h", 100), GatewayService("books", "/h", 100)),
+    workspaces=(KeyHolder("parish", (digest_key(KEY),)),),
+)
+CALL = Call(
+    request_id="r1",
+    host="a.example",
+    method="POST",
+    path="/chat/1",
+    headers=(),
+    body=b"{}",
+    timeout=5.0,
+    key=KEY,
+    prompt=(PromptPart("aa", 100), PromptPart("bb", 500), PromptPart("r1", 50)),
+)
+
+
+def list_replicas(service: str, count: int, slots: int) -> tuple[Replica, ...]:
+    """Return replicas of a service."""
+    return tuple(
+        Replica(f"{service}-{n}", service, f"10.0.0.{n}:80", "a", slots)
+        for n in range(1, count + 1)
+    )
+
+
+def build_gateway(replicas: int = 3, engine_slots: int = 64) -> State:
+    """Return the state of a router with a table and listed replicas."""
+    node = Node("router-1", Role.ROUTER, "r", "a", "tcp://127.0.0.1:9", "127.0.0.1:8")
+    state = State(node=node, gateway=GatewayState(table=TABLE, routers=1))
+    listed = (
+        *list_replicas("engines", replicas, engine_slots),
+        *list_replicas("books", replicas, 6),
+    )
+    reduce(ReplicasListed(listed), state, NOW)
+    return state
+
+
+def get_gateway(state: State) -> GatewayState:
+    """Return the gateway's part of a state."""
+    assert state.gateway is not None
+    return state.gateway
+
+
+def send_call(
+    state: State, now: float = NOW, exchange: str = "x1", **changes: Any
+) -> list[Effect]:
+    """Let a call arrive and return the effects."""
+    return reduce(CallArrived(exchange, evolve(CALL, **changes)), state, now)
+
+
+def find(kind: type[E], effects: list[Effect]) -> E:
+    """Return the one effect of a kind."""
+    (found,) = [item for item in effects if isinstance(item, kind)]
+    return found
+
+
+def list_kinds(effects: list[Effect]) -> list[type[Effect]]:
+    """Return the kinds of effects."""
+    return [type(item) for item in effects]
+
+
+def answer(
+    sent: CallReplica, state: State, now: float = NOW, **changes: Any
+) -> list[Effect]:
+    """Let a replica begin to answer and return the effects."""
+    head = evolve(ReplicaAnswer(200, (), True), **changes)
+    return reduce(ReplicaAnswered(sent.attempt, head), state, now)
--- /dev/null
+++ b/gentianworks/tests/test_platform_messages.py
@@ -0,0 +1,289 @@
+"""Tests of what the platform's messages say, once they are decoded."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from gentianworks.core.effects.gateway import CallReplica
+from gentianworks.core.gateway.faults import find_faults
+from gentianworks.core.gateway.tables import Repetition
+from gentianworks.core.types import Header, Problem, ProblemKind, RunState
+from gentianworks.platform.calls import decode_call, encode_problem
+from gentianworks.platform.configuration import (
+    DocumentError,
+    decode_document,
+    decode_table,
+    encode_document,
+)
+from gentianworks.platform.listing import ListingError, decode_page
+from gentianworks.platform.replicas import decode_answer, encode_head
+from gentianworks.platform.settings import PlatformSettingsError, read_settings
+from gentianworks.tests.gateways import CALL, list_replicas
+
+DOCUMENT: dict[str, Any] = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "drafts",
+            "host": "A.example",
+            "pathPrefix": "/d/",
+            "kind": "streaming",
+            "timeoutMs": 5000,
+            "targetLatencyMs": 800,
+            "priority": 0,
+            "trafficSplit": [
+                {"service": "engines", "weight": 90},
+                {"service": "books", "weight": 10},
+            ],
+            "maxAttempts": 2,
+            "allowAnonymous": False,
+            "resumeStreams": True,
+        },
+        {
+            "name": "pay",
+            "host": "a.example",
+            "pathPrefix": "/p/",
+            "kind": "unsafe",
+            "timeoutMs": 800,
+            "targetLatencyMs": 150,
+            "priority": 2,
+            "service": "books",
+            "maxAttempts": 1,
+        },
+    ],
+    "services": [
+        {"name": "engines", "healthPath": "/h", "maxConnections": 390},
+        {"name": "books", "healthPath": "/h", "maxConnections": 130},
+    ],
+    "limits": {
+        "maxHeaderBytes": 16384,
+        "maxBodyBytes": 4194304,
+        "headerTimeoutMs": 3000,
+        "idleTimeoutMs": 15000,
+    },
+    "tenants": [{"name": "parish", "apiKeys": ["k1", "k2"], "priority": 1}],
+}
+
+
+def change(path: str, value: Any) -> dict[str, Any]:
+    """Return the document with one field changed; `path` has dots."""
+    document: Any = json.loads(json.dumps(DOCUMENT))
+    *parents, last = path.split(".")
+    target = document
+    for name in parents:
+        target = target[int(name) if name.isdigit() else name]
+    target[last] = value
+    result: dict[str, Any] = document
+    return result
+
+
+def decode(document: dict[str, Any]) -> tuple[str, ...]:
+    """Return the faults of a document."""
+    return find_faults(decode_table(json.dumps(document).encode()))
+
+
+class TestConfiguration:
+    def test_a_document_is_decoded_into_routes_and_workspaces(self) -> None:
+        table = decode_table(json.dumps(DOCUMENT).encode())
+        drafts, pay = table.routes
+        assert table.revision == 7
+        assert drafts.host == "a.example"
+        assert drafts.repetition is Repetition.RESUMABLE
+        assert [share.weight for share in drafts.shares] == [90, 10]
+        assert pay.repetition is Repetition.ONCE
+        assert pay.timeout == pytest.approx(0.8)
+        holder = table.find_holder("k2")
+        assert holder is not None
+        assert (holder.name, holder.rank) == ("parish", 1)
+
+    def test_the_body_is_kept_byte_for_byte(self) -> None:
+        body = json.dumps(DOCUMENT, indent=3).encode()
+        assert decode_document(encode_document(7, body)) == body
+
+    @pytest.mark.parametrize(
+        ("path", "value", "words"),
+        [
+            ("routes.1.service", "ghost", "not declared"),
+            ("routes.1.pathPrefix", "/d/", "share host"),
+            ("routes.0.trafficSplit", [{"service": "books", "weight": 0}], "weights"),
+            ("routes.1.timeoutMs", 0, "no timeout"),
+            (
+                "tenants",
+                [{"name": "a", "apiKeys": ["k"]}, {"name": "b", "apiKeys": ["k"]}],
+                "share an API key",
+            ),
+        ],
+    )
+    def test_an_invalid_document_names_its_fault(
+        self, path: str, value: Any, words: str
+    ) -> None:
+        document = change(path, value)
+        if path == "routes.1.pathPrefix":
+            document["routes"][1]["host"] = "a.example"
+        assert words in " ".join(decode(document))
+
+    @pytest.mark.parametrize("cut", [10, 300, -1])
+    def test_a_document_that_is_cut_short_is_refused(self, cut: int) -> None:
+        with pytest.raises(DocumentError):
+            decode_table(json.dumps(DOCUMENT).encode()[:cut])
+
+    @pytest.mark.parametrize("version", [None, "7", -1, True, 1.5])
+    def test_a_version_that_is_no_number_is_refused(self, version: Any) -> None:
+        with pytest.raises(DocumentError):
+            decode_table(json.dumps(change("version", version)).encode())
+
+
+class TestListing:
+    ENTRY = {
+        "id": "i-1",
+        "service": "s",
+        "address": "10.0.0.1:80",
+        "zone": "a",
+        "slots": 4,
+        "state": "draining",
+    }
+
+    def test_an_entry_is_decoded(self) -> None:
+        body = json.dumps({"instances": [self.ENTRY], "next": "p-2"}).encode()
+        page = decode_page(body)
+        (replica,) = page.replicas
+        assert replica.is_leaving
+        assert page.next_page == "p-2"
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"id": None},
+            {"address": "nowhere"},
+            {"address": "10.0.0.1:99999"},
+            {"slots": "4"},
+            {"state": "asleep"},
+            {"service": ""},
+        ],
+    )
+    def test_an_unreadable_entry_leaves_the_others(
+        self, change: dict[str, Any]
+    ) -> None:
+        entries = [{**self.ENTRY, **change}, self.ENTRY, 7, None]
+        page = decode_page(json.dumps({"instances": entries, "next": None}).encode())
+        assert len(page.replicas) == 1
+        assert page.refused == 3
+
+    def test_bytes_that_are_no_list_are_an_error(self) -> None:
+        with pytest.raises(ListingError):
+            decode_page(b"\xff\x00")
+
+
+class TestCalls:
+    HEADERS = (
+        Header("host", "A.example:80"),
+        Header("request-id", "r9"),
+        Header("request-deadline", "1500"),
+        Header("authorization", "Bearer k1"),
+        Header("tenant-id", "someone"),
+        Header("hold", "h"),
+        Header("kv-from", "10.0.0.1:80/h"),
+        Header("connection", "keep-alive, x-hop"),
+        Header("x-hop", "1"),
+        Header("x-kept", "2"),
+        Header("token-counts", "1460,80"),
+        Header("prompt-prefix", "aa:800,bb:410,cc:250"),
+        Header("last-event-id", "12"),
+    )
+
+    def test_a_request_is_decoded(self) -> None:
+        call = decode_call("POST", "/d/1?x=1", self.HEADERS, b"")
+        assert call.host == "a.example"
+        assert call.timeout == pytest.approx(1.5)
+        assert call.key == "k1"
+        assert call.subject == "bb"
+        assert call.output_tokens == 80
+        assert call.last_event == 12
+
+    def test_what_only_the_system_sets_is_not_passed_on(self) -> None:
+        call = decode_call("POST", "/d/1", self.HEADERS, b"")
+        names = {item.name for item in call.headers}
+        assert names == {
+            "host",
+            "request-id",
+            "x-kept",
+            "token-counts",
+            "prompt-prefix",
+        }
+
+    def test_only_a_call_that_has_not_run_is_told_so(self) -> None:
+        for run_state, status in (
+            (RunState.NOT_RUN, 503),
+            (RunState.UNKNOWN, 502),
+            (RunState.RAN, 502),
+        ):
+            problem = Problem(ProblemKind.ENDPOINT_FAILED, "x", run_state, 0.5)
+            assert encode_problem(problem).status == status
+        late = Problem(ProblemKind.DEADLINE_PASSED, "x", RunState.NOT_RUN)
+        assert encode_problem(late).status == 504
+
+    def test_a_refusal_says_when_to_come_back(self) -> None:
+        problem = Problem(ProblemKind.OVERLOADED, "x", retry_after=0.25)
+        headers = encode_problem(problem).headers
+        assert Header("retry-after", "0.250") in headers
+
+
+class TestReplicaMessages:
+    def test_the_head_names_the_replica_and_the_time_left(self) -> None:
+        (replica,) = list_replicas("engines", 1, 4)
+        effect = CallReplica("x", "a", replica, CALL, 1.2345, "parish", 2, 7)
+        headers = dict(encode_head(effect).headers)
+        assert headers[b"expect-instance"] == b"engines-1"
+        assert headers[b"request-deadline"] == b"1234"
+        assert headers[b"tenant-id"] == b"parish"
+        assert headers[b"request-priority"] == b"2"
+        assert headers[b"last-event-id"] == b"7"
+        assert headers[b"content-length"] == b"2"
+
+    def test_what_an_answer_tells_is_decoded(self) -> None:
+        values = {
+            "instance-load": "3,1,8",
+            "response-signature": "s",
+            "connection": "close",
+            "content-length": "5",
+        }
+        headers = tuple(Header(name, value) for name, value in values.items())
+        answer = decode_answer(200, headers, values)
+        assert (answer.running, answer.waiting, answer.slots) == (3, 1, 8)
+        assert answer.is_signed
+        assert not answer.is_unrun
+        names = [item.name for item in answer.headers]
+        assert "connection" not in names
+        assert names.count("content-length") == 1
+
+    def test_a_replica_under_another_name_has_not_run_the_call(self) -> None:
+        answer = decode_answer(421, (), {})
+        assert answer.is_other
+        assert answer.is_unrun
+
+
+class TestSettings:
+    def test_a_missing_file_and_a_missing_field_are_explained(
+        self, tmp_path: Path
+    ) -> None:
+        with pytest.raises(PlatformSettingsError, match="can't be read"):
+            read_settings(tmp_path / "none")
+        path = tmp_path / "node.toml"
+        path.write_text('node = "n"\nip = "10.0.0.1"\n')
+        with pytest.raises(PlatformSettingsError, match="internalPorts"):
+            read_settings(path)
+
+    def test_unknown_fields_are_ignored(self, tmp_path: Path) -> None:
+        path = tmp_path / "node.toml"
+        path.write_text(
+            'node = "n"\nip = "10.0.0.1"\nnew = 1\ninternalPorts = [7000, 7015]\n'
+            'seeds = ["10.0.0.2:80"]\n[listen]\nfront = "10.0.0.1:81"\n'
+        )
+        settings = read_settings(path)
+        assert settings.seeds == ("10.0.0.2",)
+        assert settings.build_peer_address("control") == "tcp://10.0.0.1:7001"
+        assert not settings.is_first_start
