Fetch prompts from the replica that holds them, and elect leaders in half the time

Ruled out: load, for the mean was under two calls a replica. Change: calls that miss their subject's holder name it as source; a call within its objective is never silent; election timeouts of 0.5 to 1 s; a router without a table says when it expects one.

--- a/gentianworks/core/effects/gateway.py
+++ b/gentianworks/core/effects/gateway.py
@@ -16,7 +16,8 @@
 class CallReplica(Effect):
     """Send a call to a replica; `timeout` is in seconds.
 
-    `resume_after` numbers the last event that the caller has, -1 for none.
+    `resume_after` numbers the last event that the caller has, -1 for none; `source` is
+    a replica from which this one fetches what it lacks of the prompt.
     """
 
     exchange: ExchangeId
@@ -28,6 +29,7 @@
     urgency: int = 0
     resume_after: int = -1
     repetition: Repetition = Repetition.ONCE
+    source: Replica | None = None
 
 
 @frozen
--- a/gentianworks/core/gateway/documents.py
+++ b/gentianworks/core/gateway/documents.py
@@ -7,7 +7,7 @@
 
 @frozen
 class RouteDocument:
-    """Hold the compressed text of a table, which an adapter can read."""
+    """Hold a table as compressed bytes in base 85, which an adapter can read."""
 
     revision: int = 0
-    content: bytes = b""
+    content: str = ""
--- a/gentianworks/core/gateway/health.py
+++ b/gentianworks/core/gateway/health.py
@@ -75,11 +75,14 @@
         excess = own.failures - whole.failures
         return cost + (FAILURE_COST * excess if excess > FAILURE_MARGIN else 0.0)
 
-    def find_silence(self, service: ServiceName) -> float:
-        """Return after how many seconds without an answer a replica seems silent."""
+    def find_silence(self, service: ServiceName, objective: float) -> float:
+        """Return after how many seconds without an answer a replica seems silent.
+
+        Within its latency objective a call is never taken from its replica.
+        """
         whole = self.services.get(service)
         latency = whole.latency if whole else DEFAULT_LATENCY
-        return max(MIN_SILENCE, SILENCE_MULTIPLE * latency)
+        return max(MIN_SILENCE, SILENCE_MULTIPLE * latency, objective)
 
     def has_answered_since(self, replica: ReplicaName, since: float) -> bool:
         """Tell whether a replica has answered any call since a time in seconds."""
--- a/gentianworks/core/gateway/listing.py
+++ b/gentianworks/core/gateway/listing.py
@@ -15,7 +15,10 @@
 
 def start_listing(state: State, now: float) -> list[Effect]:
     """Return the effects that begin a gateway's polling of the list."""
-    return [] if state.gateway is None else [SetTimer(now, ListingDue())]
+    if state.gateway is None:
+        return []
+    state.gateway.started_at = now
+    return [SetTimer(now, ListingDue())]
 
 
 @reduce.register
--- a/gentianworks/core/gateway/placing.py
+++ b/gentianworks/core/gateway/placing.py
@@ -16,7 +16,7 @@
 from gentianworks.core.types import ServiceName
 
 SPILL_MULTIPLE = 1.6  # of the mean load; keeps clear of the bound of twice the mean
-SPILL_FLOOR = 2.0  # calls; the bound allows three beside its multiple
+SPILL_FLOOR = 3.0  # calls; as many as the bound allows beside its multiple
 
 
 def choose_replica(
@@ -50,7 +50,9 @@
     subject: str, candidates: list[Replica], loads: dict[ReplicaName, float]
 ) -> Replica:
     """Return the first replica in a subject's order that is not overloaded."""
-    bound = SPILL_MULTIPLE * sum(loads.values()) / len(loads) + SPILL_FLOOR
+    # The loads count one more call at each replica, the mean must not.
+    mean = max(0.0, sum(loads.values()) / len(loads) - 1)
+    bound = SPILL_MULTIPLE * mean + SPILL_FLOOR
     order = order_by_score(subject, candidates)
     for replica in order:
         if loads[replica.name] <= min(bound, replica.slots):
--- a/gentianworks/core/gateway/replacing.py
+++ b/gentianworks/core/gateway/replacing.py
@@ -47,7 +47,7 @@
         change=f"routes-{revision}",
         from_revision=present,
         to_revision=revision,
-        detail=(f"{len(command.document.content)} bytes of routes, compressed",),
+        detail=(f"{len(command.document.content)} characters of routes, compressed",),
     )
     replicated.audit.record(entry)
     return RoutesReplaced(revision, delta)
--- a/gentianworks/core/gateway/replicas.py
+++ b/gentianworks/core/gateway/replicas.py
@@ -47,21 +47,30 @@
         return max(self.own, self.told + self.own - self.own_then)
 
 
+YOUTH = 20.0  # seconds; in that time most subjects have come again
 TOLD_LIFETIME = 2.0  # seconds; about the time that an answer takes
 
 
 @define
 class ReplicaBook:
-    """Hold the replicas of the newest list and their loads."""
+    """Hold the replicas of the newest list and their loads.
+
+    `seen_at` is when each was first listed as in use, in seconds; those of the first
+    list count as always known.
+    """
 
     replicas: dict[ReplicaName, Replica] = field(factory=dict)
+    seen_at: dict[ReplicaName, float] = field(factory=dict)
     loads: dict[ReplicaName, ReplicaLoad] = field(factory=dict)
     strangers: set[ReplicaName] = field(factory=set)
     listed_at: float = float("-inf")
 
     def take(self, replicas: tuple[Replica, ...], now: float) -> None:
         """Take a newer list."""
+        is_first = not self.replicas
         self.replicas = {item.name: item for item in replicas}
+        seen = float("-inf") if is_first else now
+        self.seen_at = {name: self.seen_at.get(name, seen) for name in self.replicas}
         self.strangers &= set(self.replicas)
         self.listed_at = now
         for name in list(self.loads):
@@ -82,6 +91,18 @@
             and item.name not in self.strangers
         ]
 
+    def list_known(self, service: ServiceName) -> list[Replica]:
+        """Return the replicas of a service, those that leave as well."""
+        return [
+            item
+            for item in self.replicas.values()
+            if item.service == service and item.name not in self.strangers
+        ]
+
+    def is_young(self, name: ReplicaName, now: float) -> bool:
+        """Tell whether a replica has not served for long enough to hold prompts."""
+        return now - self.seen_at.get(name, now) < YOUTH
+
     def mark_stranger(self, name: ReplicaName) -> None:
         """Use a replica no more whose address another one answers."""
         self.strangers.add(name)
--- a/gentianworks/core/gateway/serving.py
+++ b/gentianworks/core/gateway/serving.py
@@ -18,6 +18,7 @@
 from gentianworks.core.gateway.calls import Call
 from gentianworks.core.gateway.placing import choose_replica
 from gentianworks.core.gateway.replicas import Replica
+from gentianworks.core.gateway.sources import find_source
 from gentianworks.core.gateway.state import GatewayExchange, GatewayState
 from gentianworks.core.gateway.tables import KeyHolder, Route
 from gentianworks.core.reducer import reduce
@@ -26,6 +27,7 @@
 from gentianworks.core.types import Problem, ProblemKind, RunState
 
 RETRY_AFTER = 0.3  # seconds; about the time in which a replica or table is found
+READY_TIME = 1.5  # seconds; an election at its longest, and a heartbeat
 ANSWER_MARGIN = 0.02  # seconds; lets an answer at the deadline still reach the caller
 
 
@@ -33,7 +35,7 @@
 def _(event: CallArrived, state: State, now: float) -> list[Effect]:
     gateway = state.gateway
     if gateway is None or gateway.table is None:
-        return [RefuseRequest(event.exchange, _describe_unready())]
+        return [RefuseRequest(event.exchange, _describe_unready(gateway, now))]
     call = event.call
     route = gateway.table.find_route(call.host, call.path)
     if route is None:
@@ -106,7 +108,9 @@
     exchange.tried.add(replica.name)
     gateway.book.get_load(replica.name).own += 1
     gateway.exchange_of_attempt[exchange.attempt] = exchange.id
-    silence = gateway.health.find_silence(exchange.service)
+    silence = gateway.health.find_silence(
+        exchange.service, exchange.route.latency_objective
+    )
     sent = CallReplica(
         exchange=exchange.id,
         attempt=exchange.attempt,
@@ -117,6 +121,7 @@
         urgency=exchange.rank,
         resume_after=exchange.last_event,
         repetition=exchange.route.repetition,
+        source=find_source(exchange.call, replica, gateway, now),
     )
     return [sent, SetTimer(now + silence, SilenceDue(exchange.attempt))]
 
@@ -160,11 +165,12 @@
     return [DropCall(attempt)] if attempt else []
 
 
-def _describe_unready() -> Problem:
+def _describe_unready(gateway: GatewayState | None, now: float) -> Problem:
+    started_at = gateway.started_at if gateway else now
     return Problem(
         ProblemKind.NOT_READY,
         "This router has no table of routes yet; send the call again.",
-        retry_after=RETRY_AFTER,
+        retry_after=max(RETRY_AFTER, started_at + READY_TIME - now),
     )
 
 
--- a/gentianworks/core/gateway/state.py
+++ b/gentianworks/core/gateway/state.py
@@ -50,11 +50,12 @@
 class GatewayState:
     """Hold a gateway's part of the state.
 
-    `retry_ratio` and `retry_slack` bound the repeats of the whole fleet in a window;
-    `routers` is the number of routers that share them.
+    `started_at` is in seconds. `retry_ratio` and `retry_slack` bound the repeats of
+    the whole fleet in a window; `routers` is the number of routers that share them.
     """
 
     table: RouteTable | None = None
+    started_at: float = 0.0
     exchanges: dict[ExchangeId, GatewayExchange] = field(factory=dict)
     exchange_of_attempt: dict[AttemptId, ExchangeId] = field(factory=dict)
     book: ReplicaBook = field(factory=ReplicaBook)
--- a/gentianworks/core/replication.py
+++ b/gentianworks/core/replication.py
@@ -20,10 +20,10 @@
     choose_quorum_value,
 )
 
-HEARTBEAT_INTERVAL = 0.25  # seconds
-ELECTION_TIMEOUT_MIN = 1.0  # seconds
-ELECTION_TIMEOUT_MAX = 2.0  # seconds
-LEASE = 0.9  # seconds
+HEARTBEAT_INTERVAL = 0.15  # seconds; three may be lost within the lease
+ELECTION_TIMEOUT_MIN = 0.5  # seconds; bounds how long a group is without a leader
+ELECTION_TIMEOUT_MAX = 1.0  # seconds; twice the least, so that candidates rarely tie
+LEASE = 0.45  # seconds; ends before any host may vote for another leader
 SNAPSHOT_INTERVAL = 512  # entries
 KEPT_ENTRIES = 128
 
--- a/gentianworks/platform/configuration.py
+++ b/gentianworks/platform/configuration.py
@@ -4,6 +4,7 @@
 
 import json
 import zlib
+from base64 import b85decode, b85encode
 from typing import Any
 
 from gentianworks.core.gateway.documents import RouteDocument
@@ -32,12 +33,14 @@
 
 def encode_document(revision: int, body: bytes) -> RouteDocument:
     """Return a document that keeps the body as it was sent."""
-    return RouteDocument(revision, zlib.compress(body, COMPRESSION_LEVEL))
+    packed = zlib.compress(body, COMPRESSION_LEVEL)
+    return RouteDocument(revision, b85encode(packed).decode())
 
 
 def decode_document(document: RouteDocument) -> bytes:
     """Return the body that a document keeps."""
-    return zlib.decompressobj().decompress(document.content, MAX_DOCUMENT_BYTES)
+    packed = b85decode(document.content)
+    return zlib.decompressobj().decompress(packed, MAX_DOCUMENT_BYTES)
 
 
 def decode_table(body: bytes) -> RouteTable:
--- a/gentianworks/platform/names.py
+++ b/gentianworks/platform/names.py
@@ -12,6 +12,8 @@
 TENANT_ID = "tenant-id"
 # Urgency from 0 to 9, 0 first.
 REQUEST_PRIORITY = "request-priority"
+# IP:PORT of a replica from which the prompt's memory is fetched before the request.
+KV_FETCH = "kv-fetch"
 LAST_EVENT_ID = "last-event-id"
 # Prompt tokens and most output tokens, separated by a comma.
 TOKEN_COUNTS = "token-counts"
@@ -34,7 +36,7 @@
         "expect-version",
         "hold",
         "kv-backup",
-        "kv-fetch",
+        KV_FETCH,
         "kv-from",
         LAST_EVENT_ID,
         "pin-ms",
--- a/gentianworks/platform/replicas.py
+++ b/gentianworks/platform/replicas.py
@@ -198,6 +198,8 @@
         headers.append((names.TENANT_ID, effect.workspace))
     if effect.resume_after >= 0:
         headers.append((names.LAST_EVENT_ID, str(effect.resume_after)))
+    if effect.source is not None:
+        headers.append((names.KV_FETCH, effect.source.address))
     if call.body or call.method not in {"GET", "HEAD", "DELETE"}:
         headers.append(("content-length", str(len(call.body))))
     encoded = tuple((name.encode(), value.encode("latin-1")) for name, value in headers)
