--- a/benchmarks/config.py
+++ b/benchmarks/config.py
@@ -15,8 +15,8 @@
 from benchmarks.tools.result import Result
 from gentianworks.codecs.messages import MessageCodec
 from gentianworks.commandline.client import ControlClient
-from gentianworks.core.differences import compare
-from gentianworks.core.distribution import (
+from gentianworks.core.configuration.differences import compare
+from gentianworks.core.configuration.distribution import (
     ASK_INTERVAL,
     ASKED_NEIGHBOURS,
     take_configuration,
@@ -25,7 +25,7 @@
     ConfigurationOffered,
     ConfigurationWanted,
 )
-from gentianworks.core.reports import ChangeReport, ConfigurationReport
+from gentianworks.core.operators.reports import ChangeReport, ConfigurationReport
 from gentianworks.core.state import State
 from gentianworks.core.types import (
     Configuration,
--- a/benchmarks/ledger.py
+++ b/benchmarks/ledger.py
@@ -13,15 +13,15 @@
 from attrs import frozen
 from cattrs.preconf.msgpack import make_converter
 
-from gentianworks.core.fingerprints import identify_key
-from gentianworks.core.ledger import (
+from gentianworks.core.ledger.ledger import (
     Ledger,
     Registration,
     claim_key,
     record_run,
     register_incarnation,
 )
-from gentianworks.core.ledger_types import ClaimStatus, RecordedAnswer
+from gentianworks.core.ledger.types import ClaimStatus, RecordedAnswer
+from gentianworks.core.quarantine.fingerprints import identify_key
 from standins.engine import EngineSettings
 from standins.fleet import Fleet, FleetPlan, plan_endpoints
 
--- a/benchmarks/recovery.py
+++ b/benchmarks/recovery.py
@@ -15,7 +15,7 @@
 
 from benchmarks.tools.result import Result
 from gentianworks.commandline.client import ControlClient
-from gentianworks.core.reports import ChangeReport, ConfigurationReport
+from gentianworks.core.operators.reports import ChangeReport, ConfigurationReport
 from gentianworks.core.types import Configuration, Workspace
 from gentianworks.storage.journal import JOURNAL_FILE, SNAPSHOT_FILE, Journal
 from gentianworks.web.pools import create_pool
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -14,14 +14,14 @@
 
 from benchmarks.tools.result import Result
 from gentianworks.codecs.messages import MessageCodec
-from gentianworks.core.attempts import AgentState
+from gentianworks.core.agents.attempts import AgentState
 from gentianworks.core.events.callers import CallerLeft, RequestArrived
 from gentianworks.core.events.configuration import ConfigurationOffered
 from gentianworks.core.events.dispatch import AnswerPiece, Dispatch
 from gentianworks.core.events.membership import Heartbeat
 from gentianworks.core.handlers import reduce
-from gentianworks.core.placement import place_request
-from gentianworks.core.roster import Roster
+from gentianworks.core.membership.roster import Roster
+from gentianworks.core.routing.placement import place_request
 from gentianworks.core.state import State
 from gentianworks.core.types import (
     Configuration,
--- a/gentianworks/codecs/journal.py
+++ b/gentianworks/codecs/journal.py
@@ -9,8 +9,8 @@
 from attrs import frozen
 
 from gentianworks.codecs.commands import create_converter
-from gentianworks.core.replication_log import Entry, Position, Snapshot, Vote
-from gentianworks.core.replication_members import HostId
+from gentianworks.core.replication.log import Entry, Position, Snapshot, Vote
+from gentianworks.core.replication.members import HostId
 
 MARK = b"\xf5gwj"
 HEAD = struct.Struct(">4sIQ")
--- a/gentianworks/commandline/archive.py
+++ b/gentianworks/commandline/archive.py
@@ -11,7 +11,7 @@
 from attrs import frozen
 from expression import Error, Ok, Result
 
-from gentianworks.core.audit import FIRST_DIGEST, AuditEntry, find_break
+from gentianworks.core.operators.audit import FIRST_DIGEST, AuditEntry, find_break
 
 
 @frozen
--- a/gentianworks/commandline/changes.py
+++ b/gentianworks/commandline/changes.py
@@ -24,8 +24,12 @@
     fail,
     print_json,
 )
-from gentianworks.core.differences import compare, describe_delta, is_empty
-from gentianworks.core.reports import ChangeReport, ConfigurationReport
+from gentianworks.core.configuration.differences import (
+    compare,
+    describe_delta,
+    is_empty,
+)
+from gentianworks.core.operators.reports import ChangeReport, ConfigurationReport
 from gentianworks.core.types import Configuration
 from gentianworks.declarations import read_declarations
 
--- a/gentianworks/commandline/client.py
+++ b/gentianworks/commandline/client.py
@@ -18,7 +18,7 @@
     EXIT_UNREACHABLE,
     fail,
 )
-from gentianworks.core.reports import Report
+from gentianworks.core.operators.reports import Report
 from gentianworks.secret_files import read_secret
 
 CONNECT_TIMEOUT = 2.0  # seconds
--- a/gentianworks/commandline/inspection.py
+++ b/gentianworks/commandline/inspection.py
@@ -21,14 +21,14 @@
 from gentianworks.commandline.questions import print_explanation
 from gentianworks.commandline.trail import archive_entries
 from gentianworks.core import handlers
-from gentianworks.core.audit import MAX_ENTRIES
-from gentianworks.core.control import ControlState
 from gentianworks.core.events.operators import KeyRequested
 from gentianworks.core.events.replication import JournalContents
-from gentianworks.core.replaying import replay
-from gentianworks.core.replicated import Replicated
-from gentianworks.core.reporting import report
-from gentianworks.core.reports import KeyReport, Report
+from gentianworks.core.operators.audit import MAX_ENTRIES
+from gentianworks.core.operators.reporting import report
+from gentianworks.core.operators.reports import KeyReport, Report
+from gentianworks.core.replication.control import ControlState
+from gentianworks.core.replication.replaying import replay
+from gentianworks.core.replication.replicated import Replicated
 from gentianworks.core.state import State
 from gentianworks.core.types import Role
 from gentianworks.settings import Settings, read_settings
--- a/gentianworks/commandline/orders.py
+++ b/gentianworks/commandline/orders.py
@@ -10,8 +10,8 @@
 from gentianworks.commandline.client import create_client
 from gentianworks.commandline.options import ControlOption, JsonOption, TokenOption
 from gentianworks.commandline.output import format_time, print_json
-from gentianworks.core.fencing import OrderKind
-from gentianworks.core.reports import OrderReport, ReleaseReport
+from gentianworks.core.operators.reports import OrderReport, ReleaseReport
+from gentianworks.core.orders.fencing import OrderKind
 
 app = typer.Typer()
 
--- a/gentianworks/commandline/questions.py
+++ b/gentianworks/commandline/questions.py
@@ -16,7 +16,7 @@
     print_json,
     print_table,
 )
-from gentianworks.core.reports import (
+from gentianworks.core.operators.reports import (
     ControlReport,
     KeyReport,
     NodeReport,
--- a/gentianworks/commandline/trail.py
+++ b/gentianworks/commandline/trail.py
@@ -13,8 +13,8 @@
 from gentianworks.commandline.client import ControlClient, create_client
 from gentianworks.commandline.options import ControlOption, JsonOption, TokenOption
 from gentianworks.commandline.output import EXIT_TAMPERED, fail, format_time, print_json
-from gentianworks.core.audit import AuditEntry, find_break
-from gentianworks.core.reports import AuditReport
+from gentianworks.core.operators.audit import AuditEntry, find_break
+from gentianworks.core.operators.reports import AuditReport
 
 app = typer.Typer()
 NO_ARCHIVE = Path()
--- a/gentianworks/core/admission.py
+++ b/gentianworks/core/admission/admission.py
@@ -6,7 +6,7 @@
 
 from attrs import define, field, frozen
 
-from gentianworks.core.fairness import SHARE_MARGIN, FairQueue, RankQueue
+from gentianworks.core.admission.fairness import SHARE_MARGIN, FairQueue, RankQueue
 from gentianworks.core.types import (
     AdmissionLevel,
     Rank,
--- a/gentianworks/core/levels.py
+++ b/gentianworks/core/admission/levels.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
-from gentianworks.core.admission import (
+from gentianworks.core.admission.admission import (
     MIN_RETRY_AFTER,
     QueueName,
     Slots,
     estimate_wait,
 )
-from gentianworks.core.attempts import AgentState, Attempt
-from gentianworks.core.bounds import count_slots, is_model
+from gentianworks.core.admission.victims import list_largest_holder, list_uncovered
+from gentianworks.core.agents.attempts import AgentState, Attempt
+from gentianworks.core.load.bounds import count_slots, is_model
 from gentianworks.core.state import State
 from gentianworks.core.types import (
     AdmissionLevel,
@@ -18,7 +19,6 @@
     RankWait,
     WorkspaceName,
 )
-from gentianworks.core.victims import list_largest_holder, list_uncovered
 
 LEVEL_REFRESH_INTERVAL = 0.1  # seconds
 MAX_CLOSED_QUEUES = 16
--- a/gentianworks/core/preemption.py
+++ b/gentianworks/core/admission/preemption.py
@@ -4,19 +4,19 @@
 
 from attrs import evolve
 
-from gentianworks.core.attempts import AgentState, Attempt
-from gentianworks.core.bounds import find_bound, find_rank, is_model
-from gentianworks.core.draining import follow_platform
+from gentianworks.core.admission.levels import PREEMPTION_DELAY
+from gentianworks.core.admission.victims import list_largest_holder, list_uncovered
+from gentianworks.core.agents.attempts import AgentState, Attempt
+from gentianworks.core.agents.draining import follow_platform
+from gentianworks.core.agents.serving import start_queued
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.engines import CancelCall
 from gentianworks.core.effects.lifecycle import LogEvent, SetTimer
 from gentianworks.core.events.engines import LoadsDue, LoadsHeard, PreemptionDue
-from gentianworks.core.levels import PREEMPTION_DELAY
-from gentianworks.core.load import MEAN_TIMEOUT
+from gentianworks.core.load.bounds import find_bound, find_rank, is_model
+from gentianworks.core.load.load import MEAN_TIMEOUT
 from gentianworks.core.reducer import reduce
-from gentianworks.core.serving import start_queued
 from gentianworks.core.state import State
-from gentianworks.core.victims import list_largest_holder, list_uncovered
 
 
 @reduce.register
--- a/gentianworks/core/victims.py
+++ b/gentianworks/core/admission/victims.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from gentianworks.core.attempts import AgentState, Attempt
+from gentianworks.core.agents.attempts import AgentState, Attempt
 from gentianworks.core.types import Rank, RankName, WorkspaceName
 
 
--- a/gentianworks/core/arrivals.py
+++ b/gentianworks/core/agents/arrivals.py
@@ -2,25 +2,16 @@
 
 from __future__ import annotations
 
-from gentianworks.core.admission import MIN_RETRY_AFTER
-from gentianworks.core.attempts import AgentState, Attempt
-from gentianworks.core.bounds import find_rank, is_model
-from gentianworks.core.distribution import want_newer_configuration
-from gentianworks.core.effects.base import Effect
-from gentianworks.core.effects.lifecycle import SetTimer
-from gentianworks.core.events.dispatch import Dispatch
-from gentianworks.core.events.engines import PreemptionDue, QueueTimedOut
-from gentianworks.core.fairness import Ticket
-from gentianworks.core.heartbeats import send_skipped
-from gentianworks.core.levels import (
+from gentianworks.core.admission.admission import MIN_RETRY_AFTER
+from gentianworks.core.admission.fairness import Ticket
+from gentianworks.core.admission.levels import (
     PREEMPTION_DELAY,
     forecast_most,
     forecast_wait,
     list_longest,
 )
-from gentianworks.core.quarantine import check_request
-from gentianworks.core.reducer import reduce
-from gentianworks.core.serving import (
+from gentianworks.core.agents.attempts import AgentState, Attempt
+from gentianworks.core.agents.serving import (
     answer_refusal,
     describe_overload,
     give_up,
@@ -30,8 +21,17 @@
     refuse_late,
     start_queued,
 )
+from gentianworks.core.configuration.distribution import want_newer_configuration
+from gentianworks.core.effects.base import Effect
+from gentianworks.core.effects.lifecycle import SetTimer
+from gentianworks.core.events.dispatch import Dispatch
+from gentianworks.core.events.engines import PreemptionDue, QueueTimedOut
+from gentianworks.core.ledger.tombstones import check_dispatch
+from gentianworks.core.load.bounds import find_rank, is_model
+from gentianworks.core.membership.heartbeats import send_skipped
+from gentianworks.core.quarantine.quarantine import check_request
+from gentianworks.core.reducer import reduce
 from gentianworks.core.state import State
-from gentianworks.core.tombstones import check_dispatch
 from gentianworks.core.types import Rank, WorkspaceName
 
 MAX_QUEUED = 1024
--- a/gentianworks/core/attempts.py
+++ b/gentianworks/core/agents/attempts.py
@@ -7,15 +7,15 @@
 
 from attrs import define, field
 
-from gentianworks.core.admission import Throughput
-from gentianworks.core.agent_claims import AgentClaims
-from gentianworks.core.cache import CacheState
-from gentianworks.core.crashes import AgentTrial, LastCrash, TrialStage
+from gentianworks.core.admission.admission import Throughput
+from gentianworks.core.admission.fairness import FairQueue, Ticket
+from gentianworks.core.cache.cache import CacheState
 from gentianworks.core.events.dispatch import Dispatch
-from gentianworks.core.fairness import FairQueue, Ticket
-from gentianworks.core.fencing import FencingGuard
-from gentianworks.core.fingerprints import digest_request
-from gentianworks.core.load import DEFAULT_RUN_TIME, MIN_RUN_TIME, measure_cost
+from gentianworks.core.ledger.agent_claims import AgentClaims
+from gentianworks.core.load.load import DEFAULT_RUN_TIME, MIN_RUN_TIME, measure_cost
+from gentianworks.core.orders.fencing import FencingGuard
+from gentianworks.core.quarantine.crashes import AgentTrial, LastCrash, TrialStage
+from gentianworks.core.quarantine.fingerprints import digest_request
 from gentianworks.core.types import (
     AdmissionLevel,
     AttemptId,
--- a/gentianworks/core/draining.py
+++ b/gentianworks/core/agents/draining.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from gentianworks.core.attempts import AgentState
-from gentianworks.core.cache_moves import forget_moves, start_moves
+from gentianworks.core.agents.attempts import AgentState
+from gentianworks.core.agents.serving import refuse_as_leaving
+from gentianworks.core.cache.moves import forget_moves, start_moves
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.lifecycle import LogEvent
-from gentianworks.core.serving import refuse_as_leaving
 from gentianworks.core.state import State
 
 
--- a/gentianworks/core/engine_answers.py
+++ b/gentianworks/core/agents/engine_answers.py
@@ -4,9 +4,10 @@
 
 from attrs import frozen
 
-from gentianworks.core.attempts import AgentState, Attempt
-from gentianworks.core.bounds import is_model
-from gentianworks.core.cache import describe_prompt
+from gentianworks.core.admission.levels import measure_level
+from gentianworks.core.agents.attempts import AgentState, Attempt
+from gentianworks.core.agents.serving import refuse_attempt, start_queued
+from gentianworks.core.cache.cache import describe_prompt
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.dispatch import CloseDispatch, SendFrame
 from gentianworks.core.effects.engines import CancelCall
@@ -18,17 +19,16 @@
     EnginePiece,
     EngineStarted,
 )
-from gentianworks.core.levels import measure_level
-from gentianworks.core.load import measure_cost
-from gentianworks.core.quarantine import hold_after_crash
-from gentianworks.core.recording import (
+from gentianworks.core.ledger.recording import (
     hold_piece,
     hold_start,
     record_end,
     record_failure,
 )
+from gentianworks.core.load.bounds import is_model
+from gentianworks.core.load.load import measure_cost
+from gentianworks.core.quarantine.quarantine import hold_after_crash
 from gentianworks.core.reducer import reduce
-from gentianworks.core.serving import refuse_attempt, start_queued
 from gentianworks.core.state import State
 from gentianworks.core.types import Problem, ProblemKind, RunState
 
--- a/gentianworks/core/invariants.py
+++ b/gentianworks/core/agents/invariants.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from gentianworks.core.attempts import AgentState
-from gentianworks.core.bounds import find_start_bound
-from gentianworks.core.quarantine import may_start
+from gentianworks.core.agents.attempts import AgentState
+from gentianworks.core.load.bounds import find_start_bound
+from gentianworks.core.quarantine.quarantine import may_start
 from gentianworks.core.state import State
 
 
--- a/gentianworks/core/recounting.py
+++ b/gentianworks/core/agents/recounting.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from gentianworks.core.attempts import AgentState
-from gentianworks.core.bounds import is_model
+from gentianworks.core.agents.attempts import AgentState
+from gentianworks.core.agents.serving import start_queued
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.engines import CancelEngineRequest, ReadEngineLoad
 from gentianworks.core.effects.lifecycle import LogEvent, SetTimer
@@ -12,8 +12,8 @@
     EngineLoadMissing,
     EngineLoadRead,
 )
+from gentianworks.core.load.bounds import is_model
 from gentianworks.core.reducer import reduce
-from gentianworks.core.serving import start_queued
 from gentianworks.core.state import State
 
 RECOUNT_INTERVAL = 0.1  # seconds
--- a/gentianworks/core/registration.py
+++ b/gentianworks/core/agents/registration.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-from gentianworks.core.attempts import AgentState
-from gentianworks.core.control_hosts import send_to_control
+from gentianworks.core.agents.attempts import AgentState
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.lifecycle import LogEvent, SetTimer
 from gentianworks.core.events.ledger import (
@@ -12,6 +11,7 @@
     RegistrationDue,
 )
 from gentianworks.core.reducer import reduce
+from gentianworks.core.replication.control_hosts import send_to_control
 from gentianworks.core.state import State
 
 REGISTRATION_RETRY_INTERVAL = 0.25  # seconds
--- a/gentianworks/core/serving.py
+++ b/gentianworks/core/agents/serving.py
@@ -4,32 +4,32 @@
 
 import math
 
-from gentianworks.core.admission import MIN_RETRY_AFTER, QueueName
-from gentianworks.core.attempts import AgentState, Attempt
-from gentianworks.core.bounds import (
-    find_rank,
-    has_room,
-    is_model,
-)
+from gentianworks.core.admission.admission import MIN_RETRY_AFTER, QueueName
+from gentianworks.core.admission.levels import measure_level
+from gentianworks.core.agents.attempts import AgentState, Attempt
+from gentianworks.core.agents.invariants import check_agent
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.dispatch import CloseDispatch, SendFrame
 from gentianworks.core.effects.engines import CallEngine, CancelCall
 from gentianworks.core.events.configuration import ConfigurationChosen
 from gentianworks.core.events.dispatch import AttemptRefused, RouterLeft
 from gentianworks.core.events.engines import QueueTimedOut
-from gentianworks.core.invariants import check_agent
-from gentianworks.core.levels import measure_level
-from gentianworks.core.load_reports import report_change
-from gentianworks.core.quarantine import has_lost_engine, may_start
-from gentianworks.core.recording import (
+from gentianworks.core.ledger.recording import (
     find_run_timeout,
     keep_running,
     note_refusal,
     note_start,
 )
+from gentianworks.core.load.bounds import (
+    find_rank,
+    has_room,
+    is_model,
+)
+from gentianworks.core.load.reports import report_change
+from gentianworks.core.quarantine.quarantine import has_lost_engine, may_start
+from gentianworks.core.quarantine.trials import end_trials, needs_trial, seek_trial
 from gentianworks.core.reducer import reduce
 from gentianworks.core.state import State
-from gentianworks.core.trials import end_trials, needs_trial, seek_trial
 from gentianworks.core.types import AttemptId, Problem, ProblemKind, RunState
 
 MAX_TRIALS = 64
--- /dev/null
+++ b/gentianworks/core/cache/__init__.py
@@ -0,0 +1,3 @@
+"""Cache: cached prompts and their moves."""
+
+from __future__ import annotations
--- a/gentianworks/core/cache.py
+++ b/gentianworks/core/cache/cache.py
@@ -7,7 +7,7 @@
 
 from attrs import define, field, frozen
 
-from gentianworks.core.placement import PlacementKey, build_key
+from gentianworks.core.routing.placement import PlacementKey, build_key
 from gentianworks.core.types import EndpointName, Request
 
 TransferId = str
--- a/gentianworks/core/cache_moves.py
+++ b/gentianworks/core/cache/moves.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
-from gentianworks.core.attempts import AgentState
-from gentianworks.core.bounds import is_model
-from gentianworks.core.cache import MAX_MOVES, CachedPrompt, MoveCounts, MoveFailure
+from gentianworks.core.agents.attempts import AgentState
+from gentianworks.core.cache.cache import (
+    MAX_MOVES,
+    CachedPrompt,
+    MoveCounts,
+    MoveFailure,
+)
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.cache import CancelMove, MovePrompt
 from gentianworks.core.effects.lifecycle import LogEvent, SetTimer
@@ -13,8 +17,9 @@
     MovesExpired,
     PromptMoved,
 )
-from gentianworks.core.placement import order_by_home
+from gentianworks.core.load.bounds import is_model
 from gentianworks.core.reducer import reduce
+from gentianworks.core.routing.placement import order_by_home
 from gentianworks.core.state import State
 from gentianworks.core.types import Endpoint
 
--- a/gentianworks/core/commands/base.py
+++ b/gentianworks/core/commands/base.py
@@ -17,7 +17,7 @@
 
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.events.base import Event
-from gentianworks.core.replicated import Replicated
+from gentianworks.core.replication.replicated import Replicated
 from gentianworks.core.types import Problem
 
 if TYPE_CHECKING:
--- a/gentianworks/core/commands/configuration.py
+++ b/gentianworks/core/commands/configuration.py
@@ -4,9 +4,9 @@
 
 from attrs import frozen
 
-from gentianworks.core.changes import ChangeRecord
 from gentianworks.core.commands.base import Command, Outcome
-from gentianworks.core.differences import Delta
+from gentianworks.core.configuration.changes import ChangeRecord
+from gentianworks.core.configuration.differences import Delta
 
 
 @frozen
--- a/gentianworks/core/commands/fencing.py
+++ b/gentianworks/core/commands/fencing.py
@@ -5,8 +5,8 @@
 from attrs import frozen
 
 from gentianworks.core.commands.base import Command, Outcome
-from gentianworks.core.fencing import OrderKind, OrderStatus
-from gentianworks.core.order_records import OrderRecord
+from gentianworks.core.orders.fencing import OrderKind, OrderStatus
+from gentianworks.core.orders.records import OrderRecord
 from gentianworks.core.types import EndpointName
 
 
--- a/gentianworks/core/commands/ledger.py
+++ b/gentianworks/core/commands/ledger.py
@@ -5,8 +5,8 @@
 from attrs import frozen
 
 from gentianworks.core.commands.base import Command, Outcome
-from gentianworks.core.ledger import Decision, Registration
-from gentianworks.core.ledger_types import Claim, ClaimStatus, KeyId, RecordedAnswer
+from gentianworks.core.ledger.ledger import Decision, Registration
+from gentianworks.core.ledger.types import Claim, ClaimStatus, KeyId, RecordedAnswer
 from gentianworks.core.types import EndpointName, ExchangeId
 
 
--- a/gentianworks/core/commands/members.py
+++ b/gentianworks/core/commands/members.py
@@ -5,7 +5,7 @@
 from attrs import frozen
 
 from gentianworks.core.commands.base import Command, Outcome
-from gentianworks.core.replication_members import Membership
+from gentianworks.core.replication.members import Membership
 
 
 @frozen
--- a/gentianworks/core/commands/quarantine.py
+++ b/gentianworks/core/commands/quarantine.py
@@ -5,7 +5,7 @@
 from attrs import frozen
 
 from gentianworks.core.commands.base import Command, Outcome
-from gentianworks.core.suspects import Fingerprint, Suspect
+from gentianworks.core.quarantine.suspects import Fingerprint, Suspect
 from gentianworks.core.types import AttemptId, ServiceName
 
 
--- /dev/null
+++ b/gentianworks/core/configuration/__init__.py
@@ -0,0 +1,3 @@
+"""Configuration: changes and their way to every process."""
+
+from __future__ import annotations
--- a/gentianworks/core/configuring.py
+++ b/gentianworks/core/configuration/configuring.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from gentianworks.core.audit import AuditAction, AuditEntry
-from gentianworks.core.changes import ChangeRecord
 from gentianworks.core.commands.base import (
     Command,
     abandon,
@@ -14,8 +12,15 @@
     ChangeConfiguration,
     ConfigurationChanged,
 )
-from gentianworks.core.differences import Delta, apply_delta, compare, describe_delta
-from gentianworks.core.distribution import take_configuration
+from gentianworks.core.configuration.changes import ChangeRecord
+from gentianworks.core.configuration.differences import (
+    Delta,
+    apply_delta,
+    compare,
+    describe_delta,
+)
+from gentianworks.core.configuration.distribution import take_configuration
+from gentianworks.core.configuration.validation import find_faults
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.lifecycle import LogEvent
 from gentianworks.core.effects.operators import AnswerOperator
@@ -23,14 +28,14 @@
     ApplyRequested,
     RequestConfirmed,
 )
-from gentianworks.core.proposals import confirm_read, propose
+from gentianworks.core.operators.audit import AuditAction, AuditEntry
+from gentianworks.core.operators.reporting import answer_confirmed, refuse_waiting
+from gentianworks.core.operators.reports import ChangeReport
 from gentianworks.core.reducer import reduce
-from gentianworks.core.replicated import Replicated
-from gentianworks.core.reporting import answer_confirmed, refuse_waiting
-from gentianworks.core.reports import ChangeReport
+from gentianworks.core.replication.proposals import confirm_read, propose
+from gentianworks.core.replication.replicated import Replicated
 from gentianworks.core.state import State
 from gentianworks.core.types import Problem, ProblemKind
-from gentianworks.core.validation import find_faults
 
 PUSH_TIMEOUT = 10.0  # seconds
 
--- a/gentianworks/core/distribution.py
+++ b/gentianworks/core/configuration/distribution.py
@@ -8,7 +8,9 @@
 
 from __future__ import annotations
 
-from gentianworks.core.differences import Delta
+from gentianworks.core.agents.registration import warn_if_misplaced
+from gentianworks.core.configuration.differences import Delta
+from gentianworks.core.configuration.revisions import choose_neighbours, extend
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.gateway import DecodeRoutes
 from gentianworks.core.effects.lifecycle import LogEvent, SendMessage, SetTimer
@@ -22,10 +24,8 @@
     RevisionWanted,
 )
 from gentianworks.core.events.replication import ReplicatedRestored
-from gentianworks.core.proposals import confirm_read
 from gentianworks.core.reducer import reduce
-from gentianworks.core.registration import warn_if_misplaced
-from gentianworks.core.revisions import choose_neighbours, extend
+from gentianworks.core.replication.proposals import confirm_read
 from gentianworks.core.state import State
 from gentianworks.core.types import Configuration, Role
 
--- a/gentianworks/core/revisions.py
+++ b/gentianworks/core/configuration/revisions.py
@@ -5,7 +5,7 @@
 import xxhash
 from attrs import define, field
 
-from gentianworks.core.differences import Delta, apply_delta
+from gentianworks.core.configuration.differences import Delta, apply_delta
 from gentianworks.core.types import Configuration, NodeId
 
 MAX_DELTAS = 64
--- a/gentianworks/core/effects/operators.py
+++ b/gentianworks/core/effects/operators.py
@@ -5,7 +5,7 @@
 from attrs import frozen
 
 from gentianworks.core.effects.base import Effect
-from gentianworks.core.reports import Report
+from gentianworks.core.operators.reports import Report
 from gentianworks.core.types import ExchangeId, Problem
 
 
--- a/gentianworks/core/effects/orders.py
+++ b/gentianworks/core/effects/orders.py
@@ -5,7 +5,7 @@
 from attrs import frozen
 
 from gentianworks.core.effects.base import Effect
-from gentianworks.core.fencing import Order
+from gentianworks.core.orders.fencing import Order
 
 
 @frozen
--- a/gentianworks/core/effects/replication.py
+++ b/gentianworks/core/effects/replication.py
@@ -5,8 +5,8 @@
 from attrs import frozen
 
 from gentianworks.core.effects.base import Effect
-from gentianworks.core.replication_log import Entry, Position, Snapshot, Vote
-from gentianworks.core.replication_members import HostId
+from gentianworks.core.replication.log import Entry, Position, Snapshot, Vote
+from gentianworks.core.replication.members import HostId
 
 
 @frozen
--- a/gentianworks/core/events/dispatch.py
+++ b/gentianworks/core/events/dispatch.py
@@ -5,7 +5,7 @@
 from attrs import field, frozen
 
 from gentianworks.core.events.base import Event, Message
-from gentianworks.core.ledger_types import Claim
+from gentianworks.core.ledger.types import Claim
 from gentianworks.core.types import (
     AdmissionLevel,
     AttemptId,
--- a/gentianworks/core/events/ledger.py
+++ b/gentianworks/core/events/ledger.py
@@ -5,7 +5,7 @@
 from attrs import frozen
 
 from gentianworks.core.events.base import Event, Message
-from gentianworks.core.ledger_types import (
+from gentianworks.core.ledger.types import (
     Claim,
     ClaimStatus,
     ClaimVerdict,
--- a/gentianworks/core/events/orders.py
+++ b/gentianworks/core/events/orders.py
@@ -6,7 +6,7 @@
 
 from gentianworks.core.events.base import Event, Message
 from gentianworks.core.events.operators import OperatorRequest
-from gentianworks.core.fencing import Order, OrderKind, OrderStatus
+from gentianworks.core.orders.fencing import Order, OrderKind, OrderStatus
 from gentianworks.core.types import EndpointName
 
 
--- a/gentianworks/core/events/quarantine.py
+++ b/gentianworks/core/events/quarantine.py
@@ -6,7 +6,7 @@
 
 from gentianworks.core.events.base import Event, Message
 from gentianworks.core.events.operators import OperatorRequest
-from gentianworks.core.suspects import Fingerprint, Suspect
+from gentianworks.core.quarantine.suspects import Fingerprint, Suspect
 from gentianworks.core.types import AttemptId, ServiceName
 
 
--- a/gentianworks/core/events/replication.py
+++ b/gentianworks/core/events/replication.py
@@ -6,8 +6,8 @@
 
 from gentianworks.core.commands.base import Command
 from gentianworks.core.events.base import Event, Message
-from gentianworks.core.replication_log import Entry, Position, Snapshot, Vote
-from gentianworks.core.replication_members import GroupId, HostId
+from gentianworks.core.replication.log import Entry, Position, Snapshot, Vote
+from gentianworks.core.replication.members import GroupId, HostId
 
 
 @frozen
--- a/gentianworks/core/gateway/placing.py
+++ b/gentianworks/core/gateway/placing.py
@@ -12,7 +12,7 @@
 from gentianworks.core.gateway.calls import Call
 from gentianworks.core.gateway.replicas import Replica, ReplicaName
 from gentianworks.core.gateway.state import GatewayState
-from gentianworks.core.placement import order_by_score
+from gentianworks.core.routing.placement import order_by_score
 from gentianworks.core.types import ServiceName
 
 SPILL_MULTIPLE = 1.6  # of the mean load; keeps clear of the bound of twice the mean
--- a/gentianworks/core/gateway/replacing.py
+++ b/gentianworks/core/gateway/replacing.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-from gentianworks.core.audit import AuditAction, AuditEntry
 from gentianworks.core.commands.base import Command, abandon, apply_command, conclude
 from gentianworks.core.commands.routes import ReplaceRoutes, RoutesReplaced
-from gentianworks.core.configuring import distribute
-from gentianworks.core.differences import Delta, apply_delta
+from gentianworks.core.configuration.configuring import distribute
+from gentianworks.core.configuration.differences import Delta, apply_delta
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.lifecycle import LogEvent
 from gentianworks.core.effects.operators import AnswerOperator
@@ -15,11 +14,12 @@
     RoutesDecoded,
     RoutesRequested,
 )
-from gentianworks.core.proposals import propose
+from gentianworks.core.operators.audit import AuditAction, AuditEntry
+from gentianworks.core.operators.reporting import refuse_waiting, report
+from gentianworks.core.operators.reports import Report, RoutesReport
 from gentianworks.core.reducer import reduce
-from gentianworks.core.replicated import Replicated
-from gentianworks.core.reporting import refuse_waiting, report
-from gentianworks.core.reports import Report, RoutesReport
+from gentianworks.core.replication.proposals import propose
+from gentianworks.core.replication.replicated import Replicated
 from gentianworks.core.state import State
 from gentianworks.core.types import Problem
 
--- a/gentianworks/core/gateway/serving.py
+++ b/gentianworks/core/gateway/serving.py
@@ -22,7 +22,7 @@
 from gentianworks.core.gateway.state import GatewayExchange, GatewayState
 from gentianworks.core.gateway.tables import KeyHolder, Route
 from gentianworks.core.reducer import reduce
-from gentianworks.core.retry import combine_run_states
+from gentianworks.core.routing.retry import combine_run_states
 from gentianworks.core.state import State
 from gentianworks.core.types import Problem, ProblemKind, RunState
 
--- a/gentianworks/core/gateway/sources.py
+++ b/gentianworks/core/gateway/sources.py
@@ -10,7 +10,7 @@
 from gentianworks.core.gateway.calls import Call
 from gentianworks.core.gateway.replicas import Replica
 from gentianworks.core.gateway.state import GatewayState
-from gentianworks.core.placement import order_by_score
+from gentianworks.core.routing.placement import order_by_score
 
 MIN_FETCHED_TOKENS = 256  # shorter prompts are read faster than a fetch is set up
 
--- a/gentianworks/core/gateway/state.py
+++ b/gentianworks/core/gateway/state.py
@@ -4,12 +4,12 @@
 
 from attrs import define, field
 
-from gentianworks.core.avoidance import Avoidance
 from gentianworks.core.gateway.calls import Call
 from gentianworks.core.gateway.health import HealthBook
 from gentianworks.core.gateway.replicas import Replica, ReplicaBook, ReplicaName
 from gentianworks.core.gateway.tables import Route, RouteTable
-from gentianworks.core.retry import RetryBudget
+from gentianworks.core.routing.avoidance import Avoidance
+from gentianworks.core.routing.retry import RetryBudget
 from gentianworks.core.types import AttemptId, ExchangeId, RunState, ServiceName
 
 DEFAULT_RETRY_RATIO = 0.2  # of a service's calls; what operators usually allow
--- /dev/null
+++ b/gentianworks/core/ledger/__init__.py
@@ -0,0 +1,3 @@
+"""Ledger: work that is not to be repeated."""
+
+from __future__ import annotations
--- a/gentianworks/core/agent_claims.py
+++ b/gentianworks/core/ledger/agent_claims.py
@@ -4,8 +4,8 @@
 
 from attrs import define, field
 
-from gentianworks.core.ledger_types import Claim, ClaimStatus
-from gentianworks.core.tombstones import OnceGuard
+from gentianworks.core.ledger.tombstones import OnceGuard
+from gentianworks.core.ledger.types import Claim, ClaimStatus
 from gentianworks.core.types import AttemptId, Header
 
 MAX_HELD_BYTES = 1024 * 1024
--- a/gentianworks/core/claim_ends.py
+++ b/gentianworks/core/ledger/claim_ends.py
@@ -4,13 +4,23 @@
 
 from functools import singledispatch
 
-from gentianworks.core.claim_problems import (
+from gentianworks.core.effects.base import Effect
+from gentianworks.core.effects.dispatch import CancelDispatch
+from gentianworks.core.effects.lifecycle import SetTimer
+from gentianworks.core.events.ledger import (
+    ClaimedAttemptLost,
+    ClaimedAttemptRefused,
+    ClaimedCallerLeft,
+    ClaimedDeadlineReached,
+    ProofDue,
+)
+from gentianworks.core.ledger.claim_problems import (
     describe_deadline,
     describe_no_endpoint,
     describe_unknown,
     describe_verdict,
 )
-from gentianworks.core.claim_stages import (
+from gentianworks.core.ledger.claim_stages import (
     Claiming,
     ClaimProgress,
     Dispatched,
@@ -18,28 +28,18 @@
     Resolving,
     Stage,
 )
-from gentianworks.core.claim_steps import (
+from gentianworks.core.ledger.claim_steps import (
     ClaimedExchange,
     enter,
     find_claimed,
     release,
 )
-from gentianworks.core.effects.base import Effect
-from gentianworks.core.effects.dispatch import CancelDispatch
-from gentianworks.core.effects.lifecycle import SetTimer
-from gentianworks.core.events.ledger import (
-    ClaimedAttemptLost,
-    ClaimedAttemptRefused,
-    ClaimedCallerLeft,
-    ClaimedDeadlineReached,
-    ProofDue,
-)
-from gentianworks.core.ledger_types import (
+from gentianworks.core.ledger.types import (
     Claim,
     ClaimVerdict,
 )
 from gentianworks.core.reducer import reduce
-from gentianworks.core.routing import refuse
+from gentianworks.core.routing.routing import refuse
 from gentianworks.core.state import State
 from gentianworks.core.types import ProblemKind, RunState
 
--- a/gentianworks/core/claim_keeping.py
+++ b/gentianworks/core/ledger/claim_keeping.py
@@ -25,7 +25,7 @@
     RunAcknowledged,
     RunEnded,
 )
-from gentianworks.core.ledger import (
+from gentianworks.core.ledger.ledger import (
     Decision,
     Ledger,
     Registration,
@@ -36,10 +36,10 @@
     register_incarnation,
     release_key,
 )
-from gentianworks.core.ledger_types import ClaimStatus
-from gentianworks.core.proposals import propose
+from gentianworks.core.ledger.types import ClaimStatus
 from gentianworks.core.reducer import reduce
-from gentianworks.core.replicated import Replicated
+from gentianworks.core.replication.proposals import propose
+from gentianworks.core.replication.replicated import Replicated
 from gentianworks.core.state import State
 from gentianworks.core.types import Role
 
--- a/gentianworks/core/claim_problems.py
+++ b/gentianworks/core/ledger/claim_problems.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from gentianworks.core.ledger_types import ClaimVerdict
+from gentianworks.core.ledger.types import ClaimVerdict
 from gentianworks.core.types import Problem, ProblemKind, RunState, ServiceName
 
 RETRY_AFTER = 1.0  # seconds
--- a/gentianworks/core/claim_stages.py
+++ b/gentianworks/core/ledger/claim_stages.py
@@ -4,7 +4,7 @@
 
 from attrs import define, frozen
 
-from gentianworks.core.ledger_types import Claim, KeyId
+from gentianworks.core.ledger.types import Claim, KeyId
 from gentianworks.core.types import EndpointName, Problem
 
 
--- a/gentianworks/core/claim_steps.py
+++ b/gentianworks/core/ledger/claim_steps.py
@@ -6,16 +6,6 @@
 
 from attrs import frozen
 
-from gentianworks.core.claim_problems import describe_no_endpoint
-from gentianworks.core.claim_stages import (
-    Claiming,
-    ClaimProgress,
-    Releasing,
-    Resolving,
-    Stage,
-    Watching,
-)
-from gentianworks.core.control_hosts import send_to_control
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.callers import FinishAnswer, RelayPiece, StartAnswer
 from gentianworks.core.effects.lifecycle import SendMessage, SetTimer
@@ -25,13 +15,23 @@
     ReleaseWanted,
     VoidWanted,
 )
-from gentianworks.core.exchanges import Exchange
-from gentianworks.core.ledger_types import (
+from gentianworks.core.ledger.claim_problems import describe_no_endpoint
+from gentianworks.core.ledger.claim_stages import (
+    Claiming,
+    ClaimProgress,
+    Releasing,
+    Resolving,
+    Stage,
+    Watching,
+)
+from gentianworks.core.ledger.recording import describe_unkept_answer
+from gentianworks.core.ledger.types import (
     Claim,
     RecordedAnswer,
 )
-from gentianworks.core.recording import describe_unkept_answer
-from gentianworks.core.routing import (
+from gentianworks.core.replication.control_hosts import send_to_control
+from gentianworks.core.routing.exchanges import Exchange
+from gentianworks.core.routing.routing import (
     MAX_ATTEMPTS,
     find_endpoint,
     refuse,
--- a/gentianworks/core/claims.py
+++ b/gentianworks/core/ledger/claims.py
@@ -7,13 +7,22 @@
 
 from __future__ import annotations
 
-from gentianworks.core.claim_problems import (
+from gentianworks.core.effects.base import Effect
+from gentianworks.core.events.ledger import (
+    ClaimAnswered,
+    ClaimDue,
+    ClaimRetryDue,
+    ReleaseAnswered,
+    RunEnded,
+    VoidAnswered,
+)
+from gentianworks.core.ledger.claim_problems import (
     DECIDED,
     describe_deadline,
     describe_no_endpoint,
     describe_verdict,
 )
-from gentianworks.core.claim_stages import (
+from gentianworks.core.ledger.claim_stages import (
     Claiming,
     ClaimProgress,
     Dispatched,
@@ -21,7 +30,7 @@
     Resolving,
     Watching,
 )
-from gentianworks.core.claim_steps import (
+from gentianworks.core.ledger.claim_steps import (
     ClaimedExchange,
     claim_next,
     enter,
@@ -32,25 +41,16 @@
     tell_answer,
     time_retry,
 )
-from gentianworks.core.control_hosts import send_to_control
-from gentianworks.core.effects.base import Effect
-from gentianworks.core.events.ledger import (
-    ClaimAnswered,
-    ClaimDue,
-    ClaimRetryDue,
-    ReleaseAnswered,
-    RunEnded,
-    VoidAnswered,
-)
-from gentianworks.core.fingerprints import digest_request, identify_key
-from gentianworks.core.ledger_types import (
+from gentianworks.core.ledger.types import (
     Claim,
     ClaimStatus,
     ClaimVerdict,
     VoidVerdict,
 )
+from gentianworks.core.quarantine.fingerprints import digest_request, identify_key
 from gentianworks.core.reducer import reduce
-from gentianworks.core.routing import (
+from gentianworks.core.replication.control_hosts import send_to_control
+from gentianworks.core.routing.routing import (
     refuse,
     send_attempt,
 )
--- a/gentianworks/core/ledger_keys.py
+++ b/gentianworks/core/ledger/keys.py
@@ -6,7 +6,7 @@
 
 from attrs import define, field, frozen
 
-from gentianworks.core.ledger_types import KeyId
+from gentianworks.core.ledger.types import KeyId
 
 DIGEST_BYTES = 8
 SEGMENT_KEYS = 16_384
--- a/gentianworks/core/ledger.py
+++ b/gentianworks/core/ledger/ledger.py
@@ -9,9 +9,9 @@
 
 from attrs import define, evolve, field, frozen
 
-from gentianworks.core.ledger_keys import ExpiredKeys
-from gentianworks.core.ledger_records import Record
-from gentianworks.core.ledger_types import (
+from gentianworks.core.ledger.keys import ExpiredKeys
+from gentianworks.core.ledger.records import Record
+from gentianworks.core.ledger.types import (
     Claim,
     ClaimStatus,
     ClaimVerdict,
--- a/gentianworks/core/recording.py
+++ b/gentianworks/core/ledger/recording.py
@@ -6,9 +6,7 @@
 
 from __future__ import annotations
 
-from gentianworks.core.agent_claims import MAX_RECORDED_BYTES, HeldAnswer
-from gentianworks.core.attempts import AgentState, Attempt
-from gentianworks.core.control_hosts import send_to_control
+from gentianworks.core.agents.attempts import AgentState, Attempt
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.dispatch import CloseDispatch, SendFrame
 from gentianworks.core.effects.lifecycle import LogEvent, SetTimer
@@ -25,14 +23,16 @@
     RunRetryDue,
     VoidWanted,
 )
-from gentianworks.core.ledger_types import (
+from gentianworks.core.ledger.agent_claims import MAX_RECORDED_BYTES, HeldAnswer
+from gentianworks.core.ledger.tombstones import AttemptMark, answer_void, void_unseen
+from gentianworks.core.ledger.types import (
     ClaimStatus,
     RecordedAnswer,
     VoidVerdict,
 )
 from gentianworks.core.reducer import reduce
+from gentianworks.core.replication.control_hosts import send_to_control
 from gentianworks.core.state import State
-from gentianworks.core.tombstones import AttemptMark, answer_void, void_unseen
 from gentianworks.core.types import (
     AttemptId,
     Header,
--- a/gentianworks/core/ledger_records.py
+++ b/gentianworks/core/ledger/records.py
@@ -4,7 +4,7 @@
 
 from attrs import define
 
-from gentianworks.core.ledger_types import Claim, ClaimStatus, RecordedAnswer
+from gentianworks.core.ledger.types import Claim, ClaimStatus, RecordedAnswer
 
 MAX_CONTENDERS = 16
 
--- a/gentianworks/core/tombstones.py
+++ b/gentianworks/core/ledger/tombstones.py
@@ -14,7 +14,7 @@
 from gentianworks.core.effects.lifecycle import SendMessage
 from gentianworks.core.events.dispatch import Dispatch
 from gentianworks.core.events.ledger import VoidAnswered, VoidWanted
-from gentianworks.core.ledger_types import Claim, VoidVerdict
+from gentianworks.core.ledger.types import Claim, VoidVerdict
 from gentianworks.core.types import AttemptId, Problem, ProblemKind, RunState
 
 MAX_REMEMBERED_ATTEMPTS = 4096
--- a/gentianworks/core/lifecycle.py
+++ b/gentianworks/core/lifecycle.py
@@ -2,17 +2,17 @@
 
 from __future__ import annotations
 
-from gentianworks.core.distribution import start_distribution
-from gentianworks.core.draining import start_drain
+from gentianworks.core.agents.draining import start_drain
+from gentianworks.core.agents.recounting import start_recount
+from gentianworks.core.agents.registration import start_registration
+from gentianworks.core.configuration.distribution import start_distribution
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.lifecycle import SetTimer, StopProcess
 from gentianworks.core.events.lifecycle import ShutdownRequested, Started, StopDue
 from gentianworks.core.gateway.listing import start_listing
-from gentianworks.core.heartbeats import send_heartbeat, start_heartbeats
-from gentianworks.core.recounting import start_recount
+from gentianworks.core.membership.heartbeats import send_heartbeat, start_heartbeats
 from gentianworks.core.reducer import reduce
-from gentianworks.core.registration import start_registration
-from gentianworks.core.replication_handover import begin_handover, is_handed_over
+from gentianworks.core.replication.handover import begin_handover, is_handed_over
 from gentianworks.core.state import State
 from gentianworks.core.types import Role
 
--- a/gentianworks/core/bounds.py
+++ b/gentianworks/core/load/bounds.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from gentianworks.core.attempts import AgentState
+from gentianworks.core.agents.attempts import AgentState
 from gentianworks.core.events.dispatch import Dispatch
-from gentianworks.core.load import (
+from gentianworks.core.load.load import (
     UNBOUNDED,
     Bound,
     add_loads,
--- a/gentianworks/core/load_falls.py
+++ b/gentianworks/core/load/falls.py
@@ -9,11 +9,11 @@
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.lifecycle import SendMessage, SetTimer
 from gentianworks.core.events.membership import LoadFell, LoadFellDue, LoadReport
-from gentianworks.core.load import Bound, multiply_mean
-from gentianworks.core.load_sums import find_total
-from gentianworks.core.load_table import ToldSum
+from gentianworks.core.load.load import Bound, multiply_mean
+from gentianworks.core.load.sums import find_total
+from gentianworks.core.load.table import ToldSum
+from gentianworks.core.membership.roster import HEARTBEAT_TIMEOUT
 from gentianworks.core.reducer import reduce
-from gentianworks.core.roster import HEARTBEAT_TIMEOUT
 from gentianworks.core.state import State
 from gentianworks.core.types import (
     EndpointName,
--- a/gentianworks/core/load_reports.py
+++ b/gentianworks/core/load/reports.py
@@ -6,8 +6,7 @@
 
 from __future__ import annotations
 
-from gentianworks.core.attempts import AgentState
-from gentianworks.core.bounds import find_bound, find_service, is_above_floor
+from gentianworks.core.agents.attempts import AgentState
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.lifecycle import SendMessage, SetTimer
 from gentianworks.core.events.engines import LoadsHeard
@@ -17,8 +16,9 @@
     LoadReportDue,
     LoadSum,
 )
-from gentianworks.core.load import multiply_mean
-from gentianworks.core.membership import HEARTBEAT_INTERVAL
+from gentianworks.core.load.bounds import find_bound, find_service, is_above_floor
+from gentianworks.core.load.load import multiply_mean
+from gentianworks.core.membership.membership import HEARTBEAT_INTERVAL
 from gentianworks.core.reducer import reduce
 from gentianworks.core.state import State
 
--- a/gentianworks/core/load_sums.py
+++ b/gentianworks/core/load/sums.py
@@ -12,8 +12,8 @@
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.lifecycle import SendMessage
 from gentianworks.core.events.membership import Heartbeat, LoadSum
-from gentianworks.core.load_table import ToldSum
-from gentianworks.core.replication_elections import is_leading
+from gentianworks.core.load.table import ToldSum
+from gentianworks.core.replication.elections import is_leading
 from gentianworks.core.state import State
 from gentianworks.core.types import ServiceLoad, ServiceName
 
--- a/gentianworks/core/load_table.py
+++ b/gentianworks/core/load/table.py
@@ -5,7 +5,7 @@
 from attrs import define, evolve, field, frozen
 
 from gentianworks.core.events.membership import Heartbeat, LoadReport, RegionLoads
-from gentianworks.core.load import add_loads, change_load
+from gentianworks.core.load.load import add_loads, change_load
 from gentianworks.core.types import (
     Configuration,
     EndpointName,
--- a/gentianworks/core/heartbeats.py
+++ b/gentianworks/core/membership/heartbeats.py
@@ -2,10 +2,8 @@
 
 from __future__ import annotations
 
-from gentianworks.core.answers import lose_attempt
-from gentianworks.core.attempts import AgentState
-from gentianworks.core.bounds import find_service, is_above_floor
-from gentianworks.core.distribution import want_newer_configuration
+from gentianworks.core.agents.attempts import AgentState
+from gentianworks.core.configuration.distribution import want_newer_configuration
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.lifecycle import LogEvent, SendMessage, SetTimer
 from gentianworks.core.effects.membership import FetchHosts
@@ -20,15 +18,17 @@
     SumDue,
     SweepDue,
 )
-from gentianworks.core.load_falls import follow_load
-from gentianworks.core.load_sums import answer_question, find_total, leads_settled
-from gentianworks.core.load_table import ToldSum
-from gentianworks.core.membership import HEARTBEAT_INTERVAL
-from gentianworks.core.ordering import give_order
-from gentianworks.core.quarantining import tell_suspects
+from gentianworks.core.load.bounds import find_service, is_above_floor
+from gentianworks.core.load.falls import follow_load
+from gentianworks.core.load.sums import answer_question, find_total, leads_settled
+from gentianworks.core.load.table import ToldSum
+from gentianworks.core.membership.membership import HEARTBEAT_INTERVAL
+from gentianworks.core.membership.roster import HEARTBEAT_TIMEOUT, SWEEP_INTERVAL
+from gentianworks.core.orders.ordering import give_order
+from gentianworks.core.quarantine.quarantining import tell_suspects
 from gentianworks.core.reducer import reduce
-from gentianworks.core.replication_elections import is_leading
-from gentianworks.core.roster import HEARTBEAT_TIMEOUT, SWEEP_INTERVAL
+from gentianworks.core.replication.elections import is_leading
+from gentianworks.core.routing.answers import lose_attempt
 from gentianworks.core.state import State
 from gentianworks.core.ticks import find_tick
 from gentianworks.core.types import Load, Role, ServiceLoad
--- a/gentianworks/core/roster.py
+++ b/gentianworks/core/membership/roster.py
@@ -13,7 +13,7 @@
     LoadReport,
     PlatformHost,
 )
-from gentianworks.core.membership import HEARTBEAT_INTERVAL
+from gentianworks.core.membership.membership import HEARTBEAT_INTERVAL
 from gentianworks.core.types import (
     Configuration,
     Endpoint,
--- a/gentianworks/core/surveys.py
+++ b/gentianworks/core/membership/surveys.py
@@ -16,12 +16,10 @@
     SurveyTimedOut,
     SurveyWanted,
 )
-from gentianworks.core.load import add_loads
-from gentianworks.core.placement import place_request
-from gentianworks.core.reducer import reduce
-from gentianworks.core.replication_elections import is_leading
-from gentianworks.core.reporting import answer_confirmed, answer_unconfirmed
-from gentianworks.core.reports import (
+from gentianworks.core.load.load import add_loads
+from gentianworks.core.membership.roster import Member
+from gentianworks.core.operators.reporting import answer_confirmed, answer_unconfirmed
+from gentianworks.core.operators.reports import (
     CandidateReport,
     ControlReport,
     NodeReport,
@@ -31,9 +29,11 @@
     ServiceReport,
     StatusReport,
 )
-from gentianworks.core.roster import Member
+from gentianworks.core.quarantine.suspects import Suspect
+from gentianworks.core.reducer import reduce
+from gentianworks.core.replication.elections import is_leading
+from gentianworks.core.routing.placement import place_request
 from gentianworks.core.state import State
-from gentianworks.core.suspects import Suspect
 from gentianworks.core.types import (
     Endpoint,
     Load,
--- a/gentianworks/core/acts.py
+++ b/gentianworks/core/operators/acts.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from gentianworks.core.audit import AuditAction, AuditEntry
 from gentianworks.core.commands.base import Command
-from gentianworks.core.replicated import Replicated
+from gentianworks.core.operators.audit import AuditAction, AuditEntry
+from gentianworks.core.replication.replicated import Replicated
 
 
 def record_act(
--- a/gentianworks/core/reporting.py
+++ b/gentianworks/core/operators/reporting.py
@@ -15,15 +15,15 @@
     ReadRequested,
     RequestConfirmed,
 )
-from gentianworks.core.fingerprints import identify_key
-from gentianworks.core.proposals import confirm_read
-from gentianworks.core.reducer import reduce
-from gentianworks.core.reports import (
+from gentianworks.core.operators.reports import (
     AuditReport,
     ConfigurationReport,
     KeyReport,
     Report,
 )
+from gentianworks.core.quarantine.fingerprints import identify_key
+from gentianworks.core.reducer import reduce
+from gentianworks.core.replication.proposals import confirm_read
 from gentianworks.core.state import State
 from gentianworks.core.types import ExchangeId, Problem
 
--- a/gentianworks/core/reports.py
+++ b/gentianworks/core/operators/reports.py
@@ -4,10 +4,10 @@
 
 from attrs import frozen
 
-from gentianworks.core.audit import AuditEntry
-from gentianworks.core.fencing import Order
 from gentianworks.core.gateway.documents import RouteDocument
-from gentianworks.core.suspects import Suspect
+from gentianworks.core.operators.audit import AuditEntry
+from gentianworks.core.orders.fencing import Order
+from gentianworks.core.quarantine.suspects import Suspect
 from gentianworks.core.types import Configuration, Role
 
 
--- /dev/null
+++ b/gentianworks/core/orders/__init__.py
@@ -0,0 +1,3 @@
+"""Orders: orders to engines under fencing numbers."""
+
+from __future__ import annotations
--- a/gentianworks/core/ordering.py
+++ b/gentianworks/core/orders/ordering.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from gentianworks.core.acts import record_act
-from gentianworks.core.audit import AuditAction
 from gentianworks.core.commands.base import Command, abandon, apply_command, conclude
 from gentianworks.core.commands.fencing import (
     IssueOrder,
@@ -23,13 +21,15 @@
     OrderReported,
     OrderRequested,
 )
-from gentianworks.core.fencing import MAX_PENDING_ORDERS, Order
-from gentianworks.core.order_records import OrderRecord
-from gentianworks.core.proposals import confirm_read, propose
+from gentianworks.core.operators.acts import record_act
+from gentianworks.core.operators.audit import AuditAction
+from gentianworks.core.operators.reporting import refuse_waiting
+from gentianworks.core.operators.reports import OrderReport
+from gentianworks.core.orders.fencing import MAX_PENDING_ORDERS, Order
+from gentianworks.core.orders.records import OrderRecord
 from gentianworks.core.reducer import reduce
-from gentianworks.core.replicated import Replicated
-from gentianworks.core.reporting import refuse_waiting
-from gentianworks.core.reports import OrderReport
+from gentianworks.core.replication.proposals import confirm_read, propose
+from gentianworks.core.replication.replicated import Replicated
 from gentianworks.core.state import State
 from gentianworks.core.types import EndpointName, Problem, ProblemKind, Role
 
--- a/gentianworks/core/orders.py
+++ b/gentianworks/core/orders/orders.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from gentianworks.core.control_hosts import send_to_control
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.lifecycle import LogEvent
 from gentianworks.core.effects.orders import PassOrder
@@ -13,8 +12,9 @@
     OrderPassed,
     OrderReported,
 )
-from gentianworks.core.fencing import FencingGuard, OrderStatus
+from gentianworks.core.orders.fencing import FencingGuard, OrderStatus
 from gentianworks.core.reducer import reduce
+from gentianworks.core.replication.control_hosts import send_to_control
 from gentianworks.core.state import State
 from gentianworks.core.types import EndpointName
 
--- a/gentianworks/core/order_records.py
+++ b/gentianworks/core/orders/records.py
@@ -8,7 +8,7 @@
 
 from attrs import define, field, frozen
 
-from gentianworks.core.fencing import Order, OrderKind
+from gentianworks.core.orders.fencing import Order, OrderKind
 from gentianworks.core.types import EndpointName, Problem
 
 MAX_RECORDS = 4_200
--- /dev/null
+++ b/gentianworks/core/quarantine/__init__.py
@@ -0,0 +1,3 @@
+"""Quarantine: requests that crash their engines."""
+
+from __future__ import annotations
--- a/gentianworks/core/crashes.py
+++ b/gentianworks/core/quarantine/crashes.py
@@ -8,7 +8,7 @@
 
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.events.quarantine import CrashReported
-from gentianworks.core.suspects import Fingerprint
+from gentianworks.core.quarantine.suspects import Fingerprint
 
 
 @define
--- a/gentianworks/core/quarantine.py
+++ b/gentianworks/core/quarantine/quarantine.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-from gentianworks.core.attempts import AgentState, Attempt
-from gentianworks.core.control_hosts import send_to_control
-from gentianworks.core.crashes import HeldCrash, LastCrash
+from gentianworks.core.agents.attempts import AgentState, Attempt
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.lifecycle import LogEvent, SetTimer
 from gentianworks.core.events.engines import CallFailure
@@ -13,10 +11,12 @@
     CrashReported,
     CrashRetryDue,
 )
-from gentianworks.core.fingerprints import digest_request
+from gentianworks.core.quarantine.crashes import HeldCrash, LastCrash
+from gentianworks.core.quarantine.fingerprints import digest_request
+from gentianworks.core.quarantine.suspects import Suspect
 from gentianworks.core.reducer import reduce
+from gentianworks.core.replication.control_hosts import send_to_control
 from gentianworks.core.state import State
-from gentianworks.core.suspects import Suspect
 from gentianworks.core.types import Problem, ProblemKind, Request
 
 CRASH_RETRY_INTERVAL = 0.2  # seconds
--- a/gentianworks/core/quarantining.py
+++ b/gentianworks/core/quarantine/quarantining.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from gentianworks.core.acts import record_act
-from gentianworks.core.audit import AuditAction
 from gentianworks.core.commands.base import Command, abandon, apply_command, conclude
 from gentianworks.core.commands.quarantine import (
     CrashCounted,
@@ -21,11 +19,13 @@
     ReleaseRequested,
     SuspectsChanged,
 )
-from gentianworks.core.proposals import propose
+from gentianworks.core.operators.acts import record_act
+from gentianworks.core.operators.audit import AuditAction
+from gentianworks.core.operators.reporting import refuse_waiting
+from gentianworks.core.operators.reports import ReleaseReport
 from gentianworks.core.reducer import reduce
-from gentianworks.core.replicated import Replicated
-from gentianworks.core.reporting import refuse_waiting
-from gentianworks.core.reports import ReleaseReport
+from gentianworks.core.replication.proposals import propose
+from gentianworks.core.replication.replicated import Replicated
 from gentianworks.core.state import State
 from gentianworks.core.types import Problem, Role
 
--- a/gentianworks/core/suspect_copies.py
+++ b/gentianworks/core/quarantine/suspect_copies.py
@@ -4,10 +4,9 @@
 
 from attrs import evolve
 
-from gentianworks.core.attempts import AgentState, Attempt
-from gentianworks.core.bounds import is_model
-from gentianworks.core.control_hosts import send_to_control
-from gentianworks.core.crashes import AgentTrial, TrialStage
+from gentianworks.core.admission.preemption import suspend_attempt
+from gentianworks.core.agents.attempts import AgentState, Attempt
+from gentianworks.core.agents.serving import refuse_attempt, start_queued
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.engines import CancelCall
 from gentianworks.core.effects.lifecycle import LogEvent
@@ -18,13 +17,14 @@
     TrialDue,
     TrialEnded,
 )
-from gentianworks.core.preemption import suspend_attempt
-from gentianworks.core.quarantine import describe_quarantine
+from gentianworks.core.load.bounds import is_model
+from gentianworks.core.quarantine.crashes import AgentTrial, TrialStage
+from gentianworks.core.quarantine.quarantine import describe_quarantine
+from gentianworks.core.quarantine.suspects import Suspect
+from gentianworks.core.quarantine.trials import MAX_TRIAL_ENDS, end_trials, send_trial
 from gentianworks.core.reducer import reduce
-from gentianworks.core.serving import refuse_attempt, start_queued
+from gentianworks.core.replication.control_hosts import send_to_control
 from gentianworks.core.state import State
-from gentianworks.core.suspects import Suspect
-from gentianworks.core.trials import MAX_TRIAL_ENDS, end_trials, send_trial
 from gentianworks.core.types import RunState
 
 TRIAL_PATIENCE = 5.0  # seconds without an answer of control
--- a/gentianworks/core/trial_keeping.py
+++ b/gentianworks/core/quarantine/trial_keeping.py
@@ -20,9 +20,9 @@
     TrialEnded,
     TrialWanted,
 )
-from gentianworks.core.proposals import propose
 from gentianworks.core.reducer import reduce
-from gentianworks.core.replicated import Replicated
+from gentianworks.core.replication.proposals import propose
+from gentianworks.core.replication.replicated import Replicated
 from gentianworks.core.state import State
 from gentianworks.core.types import Role
 
--- a/gentianworks/core/trials.py
+++ b/gentianworks/core/quarantine/trials.py
@@ -6,15 +6,15 @@
 
 from __future__ import annotations
 
-from gentianworks.core.attempts import AgentState, Attempt
-from gentianworks.core.control_hosts import send_to_control
-from gentianworks.core.crashes import AgentTrial, TrialStage
+from gentianworks.core.agents.attempts import AgentState, Attempt
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.lifecycle import SetTimer
 from gentianworks.core.events.base import Message
 from gentianworks.core.events.quarantine import TrialDue, TrialEnded, TrialWanted
-from gentianworks.core.quarantine import is_suspect
-from gentianworks.core.recording import CLAIMED_RUN_TIMEOUT
+from gentianworks.core.ledger.recording import CLAIMED_RUN_TIMEOUT
+from gentianworks.core.quarantine.crashes import AgentTrial, TrialStage
+from gentianworks.core.quarantine.quarantine import is_suspect
+from gentianworks.core.replication.control_hosts import send_to_control
 from gentianworks.core.state import State
 from gentianworks.core.types import AttemptId
 
--- /dev/null
+++ b/gentianworks/core/replication/__init__.py
@@ -0,0 +1,3 @@
+"""Replication: the log that the control hosts agree on."""
+
+from __future__ import annotations
--- a/gentianworks/core/replication_applying.py
+++ b/gentianworks/core/replication/applying.py
@@ -11,10 +11,10 @@
 )
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.lifecycle import LogEvent
-from gentianworks.core.replicated import Replicated
-from gentianworks.core.replication_invariants import check_applied
-from gentianworks.core.replication_peers import get_replication
-from gentianworks.core.replication_reading import finish_reads
+from gentianworks.core.replication.invariants import check_applied
+from gentianworks.core.replication.peers import get_replication
+from gentianworks.core.replication.reading import finish_reads
+from gentianworks.core.replication.replicated import Replicated
 from gentianworks.core.state import State
 
 
--- a/gentianworks/core/control.py
+++ b/gentianworks/core/replication/control.py
@@ -4,8 +4,8 @@
 
 from attrs import define, field
 
-from gentianworks.core.replicated import Replicated
-from gentianworks.core.replication import Replication
+from gentianworks.core.replication.replicated import Replicated
+from gentianworks.core.replication.replication import Replication
 from gentianworks.core.types import ExchangeId
 
 
--- a/gentianworks/core/replication_elections.py
+++ b/gentianworks/core/replication/elections.py
@@ -14,20 +14,14 @@
     VoteResponse,
 )
 from gentianworks.core.reducer import reduce
-from gentianworks.core.replication import (
-    ELECTION_TIMEOUT_MIN,
-    LEASE,
-    ControlRole,
-    Replication,
-)
-from gentianworks.core.replication_invariants import check_invariants
-from gentianworks.core.replication_leading import (
+from gentianworks.core.replication.invariants import check_invariants
+from gentianworks.core.replication.leading import (
     append_command,
     begin_leading,
 )
-from gentianworks.core.replication_log import Vote
-from gentianworks.core.replication_members import ControlMember
-from gentianworks.core.replication_peers import (
+from gentianworks.core.replication.log import Vote
+from gentianworks.core.replication.members import ControlMember
+from gentianworks.core.replication.peers import (
     get_replication,
     hold,
     is_for_this_host,
@@ -36,7 +30,13 @@
     send_to,
     write,
 )
-from gentianworks.core.replication_rounds import start_round
+from gentianworks.core.replication.replication import (
+    ELECTION_TIMEOUT_MIN,
+    LEASE,
+    ControlRole,
+    Replication,
+)
+from gentianworks.core.replication.rounds import start_round
 from gentianworks.core.state import State
 
 
--- a/gentianworks/core/replication_following.py
+++ b/gentianworks/core/replication/following.py
@@ -10,21 +10,21 @@
     AppendResponse,
     PeerMessage,
 )
-from gentianworks.core.replication import ControlRole
-from gentianworks.core.replication_applying import commit
-from gentianworks.core.replication_invariants import (
+from gentianworks.core.replication.applying import commit
+from gentianworks.core.replication.invariants import (
     check_leader,
     check_match,
     check_truncation,
 )
-from gentianworks.core.replication_log import Entry
-from gentianworks.core.replication_peers import (
+from gentianworks.core.replication.log import Entry
+from gentianworks.core.replication.peers import (
     get_replication,
     hold,
     receive,
     reply_to,
     write,
 )
+from gentianworks.core.replication.replication import ControlRole
 from gentianworks.core.state import State
 
 
--- a/gentianworks/core/replication_formation.py
+++ b/gentianworks/core/replication/formation.py
@@ -7,14 +7,9 @@
 from gentianworks.core.effects.lifecycle import SendMessage
 from gentianworks.core.events.replication import FormationRequest, FormationResponse
 from gentianworks.core.reducer import reduce
-from gentianworks.core.replication import (
-    ELECTION_TIMEOUT_MAX,
-    ControlRole,
-    Replication,
-)
-from gentianworks.core.replication_leading import append_command
-from gentianworks.core.replication_log import Vote
-from gentianworks.core.replication_members import (
+from gentianworks.core.replication.leading import append_command
+from gentianworks.core.replication.log import Vote
+from gentianworks.core.replication.members import (
     ControlMember,
     FoundHosts,
     HostPolicy,
@@ -22,7 +17,12 @@
     Membership,
     plan_change,
 )
-from gentianworks.core.replication_peers import get_replication
+from gentianworks.core.replication.peers import get_replication
+from gentianworks.core.replication.replication import (
+    ELECTION_TIMEOUT_MAX,
+    ControlRole,
+    Replication,
+)
 from gentianworks.core.state import State
 
 PROBE_INTERVAL = 0.5  # seconds
--- a/gentianworks/core/replication_handover.py
+++ b/gentianworks/core/replication/handover.py
@@ -4,10 +4,10 @@
 
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.events.replication import HandoverRequest
-from gentianworks.core.replication import Replication
-from gentianworks.core.replication_leading import find_progress
-from gentianworks.core.replication_members import ControlMember
-from gentianworks.core.replication_peers import get_replication, send_to
+from gentianworks.core.replication.leading import find_progress
+from gentianworks.core.replication.members import ControlMember
+from gentianworks.core.replication.peers import get_replication, send_to
+from gentianworks.core.replication.replication import Replication
 from gentianworks.core.state import State
 
 HANDOVER_TIMEOUT = 5.0  # seconds
--- a/gentianworks/core/replication_invariants.py
+++ b/gentianworks/core/replication/invariants.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from gentianworks.core.replication import Replication
-from gentianworks.core.replication_log import Entry
-from gentianworks.core.replication_members import HostId
+from gentianworks.core.replication.log import Entry
+from gentianworks.core.replication.members import HostId
+from gentianworks.core.replication.replication import Replication
 from gentianworks.core.state import State
 
 
--- a/gentianworks/core/replication_leading.py
+++ b/gentianworks/core/replication/leading.py
@@ -8,15 +8,15 @@
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.replication import ReadSnapshotChunk
 from gentianworks.core.events.replication import AppendRequest
-from gentianworks.core.replication import Progress, Replication
-from gentianworks.core.replication_applying import commit
-from gentianworks.core.replication_log import Entry, Position
-from gentianworks.core.replication_members import (
+from gentianworks.core.replication.applying import commit
+from gentianworks.core.replication.log import Entry, Position
+from gentianworks.core.replication.members import (
     ControlMember,
     HostId,
     choose_quorum_value,
 )
-from gentianworks.core.replication_peers import get_replication, send_to, write
+from gentianworks.core.replication.peers import get_replication, send_to, write
+from gentianworks.core.replication.replication import Progress, Replication
 from gentianworks.core.state import State
 
 MAX_BATCH_ENTRIES = 64
--- a/gentianworks/core/replication_log.py
+++ b/gentianworks/core/replication/log.py
@@ -8,8 +8,8 @@
 
 from gentianworks.core.commands.base import Command
 from gentianworks.core.commands.members import ChangeMembers
-from gentianworks.core.replicated import Replicated
-from gentianworks.core.replication_members import HostId, Membership
+from gentianworks.core.replication.members import HostId, Membership
+from gentianworks.core.replication.replicated import Replicated
 
 
 @frozen(order=True)
--- a/gentianworks/core/replication_peers.py
+++ b/gentianworks/core/replication/peers.py
@@ -9,9 +9,9 @@
 from gentianworks.core.effects.lifecycle import SendMessage
 from gentianworks.core.effects.replication import WriteJournal
 from gentianworks.core.events.replication import PeerMessage
-from gentianworks.core.replication import Replication
-from gentianworks.core.replication_log import Entry
-from gentianworks.core.replication_members import HostId
+from gentianworks.core.replication.log import Entry
+from gentianworks.core.replication.members import HostId
+from gentianworks.core.replication.replication import Replication
 from gentianworks.core.state import State
 
 M = TypeVar("M", bound=PeerMessage)
--- a/gentianworks/core/proposals.py
+++ b/gentianworks/core/replication/proposals.py
@@ -12,10 +12,10 @@
 from gentianworks.core.events.base import Event
 from gentianworks.core.events.replication import ProposalRequest
 from gentianworks.core.reducer import reduce
-from gentianworks.core.replication import PendingProposal, PendingRead
-from gentianworks.core.replication_leading import append_command
-from gentianworks.core.replication_peers import get_replication, receive, send_to
-from gentianworks.core.replication_rounds import request_reads
+from gentianworks.core.replication.leading import append_command
+from gentianworks.core.replication.peers import get_replication, receive, send_to
+from gentianworks.core.replication.replication import PendingProposal, PendingRead
+from gentianworks.core.replication.rounds import request_reads
 from gentianworks.core.state import State
 from gentianworks.core.types import Problem, ProblemKind, RunState
 
--- a/gentianworks/core/replication_reading.py
+++ b/gentianworks/core/replication/reading.py
@@ -5,8 +5,8 @@
 from gentianworks.core.commands.base import refuse_read
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.reducer import reduce
-from gentianworks.core.replication import PendingRead
-from gentianworks.core.replication_peers import get_replication
+from gentianworks.core.replication.peers import get_replication
+from gentianworks.core.replication.replication import PendingRead
 from gentianworks.core.state import State
 from gentianworks.core.types import Problem, ProblemKind
 
--- a/gentianworks/core/replaying.py
+++ b/gentianworks/core/replication/replaying.py
@@ -4,7 +4,7 @@
 
 from gentianworks.core.commands.base import apply_command
 from gentianworks.core.events.replication import JournalContents
-from gentianworks.core.replicated import Replicated
+from gentianworks.core.replication.replicated import Replicated
 
 
 def replay(contents: JournalContents) -> Replicated:
--- a/gentianworks/core/replicated.py
+++ b/gentianworks/core/replication/replicated.py
@@ -4,13 +4,13 @@
 
 from attrs import define, field
 
-from gentianworks.core.audit import AuditTrail
-from gentianworks.core.changes import ChangeLog
-from gentianworks.core.fencing import OrderBook
-from gentianworks.core.ledger import Ledger
-from gentianworks.core.order_records import OrderRecords
-from gentianworks.core.replication_members import Membership
-from gentianworks.core.suspects import SuspectBook
+from gentianworks.core.configuration.changes import ChangeLog
+from gentianworks.core.ledger.ledger import Ledger
+from gentianworks.core.operators.audit import AuditTrail
+from gentianworks.core.orders.fencing import OrderBook
+from gentianworks.core.orders.records import OrderRecords
+from gentianworks.core.quarantine.suspects import SuspectBook
+from gentianworks.core.replication.members import Membership
 from gentianworks.core.types import Configuration
 
 
--- a/gentianworks/core/replication.py
+++ b/gentianworks/core/replication/replication.py
@@ -12,8 +12,8 @@
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.events.base import Event
 from gentianworks.core.events.replication import FormationResponse
-from gentianworks.core.replication_log import Log, Position, Vote
-from gentianworks.core.replication_members import (
+from gentianworks.core.replication.log import Log, Position, Vote
+from gentianworks.core.replication.members import (
     ControlMember,
     HostId,
     Membership,
--- a/gentianworks/core/replication_rounds.py
+++ b/gentianworks/core/replication/rounds.py
@@ -9,20 +9,20 @@
     ReadIndexRequest,
     ReadIndexResponse,
 )
-from gentianworks.core.replication import (
-    HEARTBEAT_INTERVAL,
-    ReadRound,
-    Replication,
-)
-from gentianworks.core.replication_leading import (
+from gentianworks.core.replication.leading import (
     advance_commit,
     find_progress,
     send_entries,
     send_heartbeats,
 )
-from gentianworks.core.replication_members import HostId, choose_quorum_value
-from gentianworks.core.replication_peers import get_replication, receive, send_to
-from gentianworks.core.replication_reading import finish_reads, resolve_reads
+from gentianworks.core.replication.members import HostId, choose_quorum_value
+from gentianworks.core.replication.peers import get_replication, receive, send_to
+from gentianworks.core.replication.reading import finish_reads, resolve_reads
+from gentianworks.core.replication.replication import (
+    HEARTBEAT_INTERVAL,
+    ReadRound,
+    Replication,
+)
 from gentianworks.core.state import State
 from gentianworks.core.ticks import find_tick
 
--- a/gentianworks/core/replication_snapshots.py
+++ b/gentianworks/core/replication/snapshots.py
@@ -18,20 +18,20 @@
     SnapshotDecoded,
 )
 from gentianworks.core.reducer import reduce
-from gentianworks.core.replication import IncomingSnapshot, Replication
-from gentianworks.core.replication_following import follow
-from gentianworks.core.replication_invariants import check_invariants
-from gentianworks.core.replication_leading import find_progress
-from gentianworks.core.replication_log import Log, Position, Snapshot
-from gentianworks.core.replication_peers import (
+from gentianworks.core.replication.following import follow
+from gentianworks.core.replication.invariants import check_invariants
+from gentianworks.core.replication.leading import find_progress
+from gentianworks.core.replication.log import Log, Position, Snapshot
+from gentianworks.core.replication.peers import (
     get_replication,
     hold,
     receive,
     reply_to,
     send_to,
 )
-from gentianworks.core.replication_reading import finish_reads
-from gentianworks.core.replication_rounds import RESEND_INTERVAL, note_round
+from gentianworks.core.replication.reading import finish_reads
+from gentianworks.core.replication.replication import IncomingSnapshot, Replication
+from gentianworks.core.replication.rounds import RESEND_INTERVAL, note_round
 from gentianworks.core.state import State
 
 
--- a/gentianworks/core/replication_timers.py
+++ b/gentianworks/core/replication/timers.py
@@ -11,27 +11,27 @@
     ReplicatedRestored,
     ReplicationDue,
 )
-from gentianworks.core.proposals import expire_proposals, submit_proposals
 from gentianworks.core.reducer import reduce
-from gentianworks.core.replication import (
-    ELECTION_TIMEOUT_MAX,
-    Replication,
-)
-from gentianworks.core.replication_elections import (
+from gentianworks.core.replication.elections import (
     count_votes,
     start_election,
     step_down,
 )
-from gentianworks.core.replication_formation import change_members, probe
-from gentianworks.core.replication_handover import continue_handover
-from gentianworks.core.replication_invariants import check_invariants
-from gentianworks.core.replication_leading import advance_commit, replicate
-from gentianworks.core.replication_log import Log
-from gentianworks.core.replication_peers import get_replication
-from gentianworks.core.replication_reading import expire_reads
-from gentianworks.core.replication_rounds import request_reads, start_round
-from gentianworks.core.replication_snapshots import resend_chunks, save_due_snapshot
-from gentianworks.core.replication_warnings import warn_of_silence
+from gentianworks.core.replication.formation import change_members, probe
+from gentianworks.core.replication.handover import continue_handover
+from gentianworks.core.replication.invariants import check_invariants
+from gentianworks.core.replication.leading import advance_commit, replicate
+from gentianworks.core.replication.log import Log
+from gentianworks.core.replication.peers import get_replication
+from gentianworks.core.replication.proposals import expire_proposals, submit_proposals
+from gentianworks.core.replication.reading import expire_reads
+from gentianworks.core.replication.replication import (
+    ELECTION_TIMEOUT_MAX,
+    Replication,
+)
+from gentianworks.core.replication.rounds import request_reads, start_round
+from gentianworks.core.replication.snapshots import resend_chunks, save_due_snapshot
+from gentianworks.core.replication.warnings import warn_of_silence
 from gentianworks.core.state import State
 from gentianworks.core.ticks import EARLY, find_tick
 
--- a/gentianworks/core/replication_warnings.py
+++ b/gentianworks/core/replication/warnings.py
@@ -4,8 +4,8 @@
 
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.lifecycle import LogEvent
-from gentianworks.core.replication import Replication
-from gentianworks.core.replication_peers import get_replication
+from gentianworks.core.replication.peers import get_replication
+from gentianworks.core.replication.replication import Replication
 from gentianworks.core.state import State
 
 SILENCE_TIMEOUT = 5.0  # seconds
--- a/gentianworks/core/answers.py
+++ b/gentianworks/core/routing/answers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from gentianworks.core.distribution import want_newer_configuration
+from gentianworks.core.configuration.distribution import want_newer_configuration
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.callers import FinishAnswer, RelayPiece, StartAnswer
 from gentianworks.core.effects.dispatch import CancelDispatch
@@ -21,18 +21,18 @@
     ClaimedCallerLeft,
     ClaimedDeadlineReached,
 )
-from gentianworks.core.exchanges import Exchange
 from gentianworks.core.reducer import reduce
-from gentianworks.core.retry import (
+from gentianworks.core.routing.exchanges import Exchange
+from gentianworks.core.routing.retry import (
     MAX_FAILURES,
     MAX_RESUMES,
     RETRY_AFTER,
     combine_run_states,
     may_spill,
 )
-from gentianworks.core.routing import dispatch_next, refuse
+from gentianworks.core.routing.routing import dispatch_next, refuse
+from gentianworks.core.routing.streams import PieceVerdict
 from gentianworks.core.state import State
-from gentianworks.core.streams import PieceVerdict
 from gentianworks.core.types import Problem, ProblemKind, RunState
 
 
--- a/gentianworks/core/exchanges.py
+++ b/gentianworks/core/routing/exchanges.py
@@ -4,11 +4,11 @@
 
 from attrs import define, field
 
-from gentianworks.core.avoidance import Avoidance
-from gentianworks.core.claim_stages import ClaimProgress
 from gentianworks.core.events.dispatch import AnswerHead
-from gentianworks.core.retry import RetryBudget
-from gentianworks.core.streams import StreamProgress
+from gentianworks.core.ledger.claim_stages import ClaimProgress
+from gentianworks.core.routing.avoidance import Avoidance
+from gentianworks.core.routing.retry import RetryBudget
+from gentianworks.core.routing.streams import StreamProgress
 from gentianworks.core.types import (
     AttemptId,
     EndpointName,
--- a/gentianworks/core/routing.py
+++ b/gentianworks/core/routing/routing.py
@@ -4,8 +4,7 @@
 
 from attrs import evolve
 
-from gentianworks.core.admission import is_closed
-from gentianworks.core.avoidance import choose_endpoint
+from gentianworks.core.admission.admission import is_closed
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.callers import AbortAnswer, RefuseRequest
 from gentianworks.core.effects.dispatch import SendDispatch
@@ -17,12 +16,13 @@
 )
 from gentianworks.core.events.dispatch import Dispatch
 from gentianworks.core.events.ledger import ClaimDue
-from gentianworks.core.exchanges import Exchange
-from gentianworks.core.ledger_types import Claim
-from gentianworks.core.placement import place_request
-from gentianworks.core.quarantine import check_request
+from gentianworks.core.ledger.types import Claim
+from gentianworks.core.quarantine.quarantine import check_request
 from gentianworks.core.reducer import reduce
-from gentianworks.core.retry import (
+from gentianworks.core.routing.avoidance import choose_endpoint
+from gentianworks.core.routing.exchanges import Exchange
+from gentianworks.core.routing.placement import place_request
+from gentianworks.core.routing.retry import (
     MAX_ATTEMPTS,
     MAX_RESUME_WAITS,
     RESUME_WAIT,
--- a/gentianworks/core/state.py
+++ b/gentianworks/core/state.py
@@ -4,18 +4,18 @@
 
 from attrs import define, field
 
-from gentianworks.core.attempts import AgentState
-from gentianworks.core.control import ControlState
-from gentianworks.core.crashes import HeldCrash
-from gentianworks.core.exchanges import RouterState
+from gentianworks.core.agents.attempts import AgentState
+from gentianworks.core.configuration.revisions import DistributionState
 from gentianworks.core.gateway.state import GatewayState
-from gentianworks.core.load_table import LoadTable
-from gentianworks.core.membership import Fleet
+from gentianworks.core.load.table import LoadTable
+from gentianworks.core.membership.membership import Fleet
+from gentianworks.core.membership.roster import Roster
 from gentianworks.core.observations import Observations
-from gentianworks.core.operators import OperatorsState
-from gentianworks.core.revisions import DistributionState
-from gentianworks.core.roster import Roster
-from gentianworks.core.suspects import KnownSuspects
+from gentianworks.core.operators.operators import OperatorsState
+from gentianworks.core.quarantine.crashes import HeldCrash
+from gentianworks.core.quarantine.suspects import KnownSuspects
+from gentianworks.core.replication.control import ControlState
+from gentianworks.core.routing.exchanges import RouterState
 from gentianworks.core.types import Configuration, Node
 
 DEFAULT_STORE_RATE = 1e9  # bytes a second
--- a/gentianworks/declarations.py
+++ b/gentianworks/declarations.py
@@ -7,8 +7,8 @@
 
 from expression import Error, Ok, Result
 
+from gentianworks.core.configuration.validation import Fault, find_faults
 from gentianworks.core.types import Configuration, Endpoint, Rank, Service, Workspace
-from gentianworks.core.validation import Fault, find_faults
 from gentianworks.ini_folder import (
     FolderError,
     FolderErrors,
--- a/gentianworks/metrics.py
+++ b/gentianworks/metrics.py
@@ -9,16 +9,16 @@
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
 from gentianworks.codecs.usage import find_usage
-from gentianworks.core.bounds import find_bound
 from gentianworks.core.effects.metrics import (
     CountAttempt,
     CountRequest,
     ObserveLatency,
     ReadUsage,
 )
-from gentianworks.core.ledger import Ledger
-from gentianworks.core.ledger_types import ClaimStatus
-from gentianworks.core.replication_elections import is_leading
+from gentianworks.core.ledger.ledger import Ledger
+from gentianworks.core.ledger.types import ClaimStatus
+from gentianworks.core.load.bounds import find_bound
+from gentianworks.core.replication.elections import is_leading
 from gentianworks.core.state import State
 from gentianworks.core.types import Role
 from gentianworks.labels import OTHER, LabelLimit
--- a/gentianworks/platform/front.py
+++ b/gentianworks/platform/front.py
@@ -26,7 +26,7 @@
 from gentianworks.core.events.operators import OperatorRequest
 from gentianworks.core.gateway.faults import find_faults
 from gentianworks.core.gateway.tables import CallerLimits
-from gentianworks.core.reports import RoutesReport
+from gentianworks.core.operators.reports import RoutesReport
 from gentianworks.core.types import Header, Problem, ProblemKind
 from gentianworks.outbox import Outbox
 from gentianworks.platform.calls import decode_call, encode_problem
--- a/gentianworks/runner.py
+++ b/gentianworks/runner.py
@@ -14,10 +14,10 @@
 import anyio
 
 from gentianworks.codecs.messages import MessageCodec
-from gentianworks.core.attempts import AgentState
-from gentianworks.core.cache import CacheState
+from gentianworks.core.agents.attempts import AgentState
+from gentianworks.core.cache.cache import CacheState
+from gentianworks.core.configuration.revisions import DistributionState
 from gentianworks.core.events.lifecycle import ShutdownRequested, Started
-from gentianworks.core.revisions import DistributionState
 from gentianworks.core.state import State
 from gentianworks.core.types import Role
 from gentianworks.log import configure_log
--- a/gentianworks/storage/journal.py
+++ b/gentianworks/storage/journal.py
@@ -16,8 +16,8 @@
     RecordError,
 )
 from gentianworks.core.events.replication import JournalContents
-from gentianworks.core.replication_log import Entry, Position, Snapshot, Vote
-from gentianworks.core.replication_members import HostId
+from gentianworks.core.replication.log import Entry, Position, Snapshot, Vote
+from gentianworks.core.replication.members import HostId
 from gentianworks.storage.errors import StorageError
 from gentianworks.storage.files import replace_file
 
--- a/gentianworks/storage/store.py
+++ b/gentianworks/storage/store.py
@@ -23,7 +23,7 @@
     SnapshotChunkRead,
     SnapshotDecoded,
 )
-from gentianworks.core.replication_log import Entry
+from gentianworks.core.replication.log import Entry
 from gentianworks.process import Process, perform
 from gentianworks.storage.errors import EXIT_STORAGE, StorageError
 from gentianworks.storage.journal import Journal, merge_entries
--- a/gentianworks/tests/agents.py
+++ b/gentianworks/tests/agents.py
@@ -4,7 +4,7 @@
 
 from typing import TypeVar
 
-from gentianworks.core.attempts import AgentState
+from gentianworks.core.agents.attempts import AgentState
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.dispatch import SendFrame
 from gentianworks.core.events.dispatch import AttemptRefused, Dispatch
--- a/gentianworks/tests/control_groups.py
+++ b/gentianworks/tests/control_groups.py
@@ -8,8 +8,8 @@
 from gentianworks.core.events.replication import (
     PeerMessage,
 )
-from gentianworks.core.replication import Replication
-from gentianworks.core.replication_members import HostId
+from gentianworks.core.replication.members import HostId
+from gentianworks.core.replication.replication import Replication
 from properties.control_group import Group, Host
 
 LIMIT = 30.0  # seconds
--- a/gentianworks/tests/fixtures.py
+++ b/gentianworks/tests/fixtures.py
@@ -6,7 +6,7 @@
 
 from attrs import evolve
 
-from gentianworks.core.attempts import AgentState
+from gentianworks.core.agents.attempts import AgentState
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.dispatch import SendDispatch
 from gentianworks.core.events.callers import RequestArrived
--- a/gentianworks/tests/test_admission.py
+++ b/gentianworks/tests/test_admission.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from gentianworks.core.admission import (
+from gentianworks.core.admission.admission import (
     LEVEL_LIFETIME,
     MAX_WAIT_RATIO,
     MIN_WAIT_RATIO,
@@ -14,10 +14,10 @@
     estimate_wait,
     is_closed,
 )
-from gentianworks.core.attempts import AgentState
-from gentianworks.core.avoidance import Avoidance
-from gentianworks.core.fairness import FairQueue, Ticket
-from gentianworks.core.levels import find_level
+from gentianworks.core.admission.fairness import FairQueue, Ticket
+from gentianworks.core.admission.levels import find_level
+from gentianworks.core.agents.attempts import AgentState
+from gentianworks.core.routing.avoidance import Avoidance
 from gentianworks.core.state import State
 from gentianworks.core.types import (
     AdmissionLevel,
--- a/gentianworks/tests/test_arrivals.py
+++ b/gentianworks/tests/test_arrivals.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from gentianworks.core.admission import Throughput
-from gentianworks.core.arrivals import MAX_QUEUED
+from gentianworks.core.admission.admission import Throughput
+from gentianworks.core.agents.arrivals import MAX_QUEUED
 from gentianworks.core.effects.engines import (
     CallEngine,
 )
--- a/gentianworks/tests/test_audit.py
+++ b/gentianworks/tests/test_audit.py
@@ -7,8 +7,13 @@
 from attrs import evolve
 
 from gentianworks.commandline.archive import extend_archive, read_archive
-from gentianworks.core import audit
-from gentianworks.core.audit import AuditAction, AuditEntry, AuditTrail, find_break
+from gentianworks.core.operators import audit
+from gentianworks.core.operators.audit import (
+    AuditAction,
+    AuditEntry,
+    AuditTrail,
+    find_break,
+)
 
 
 def build_trail(count: int) -> AuditTrail:
--- a/gentianworks/tests/test_cache.py
+++ b/gentianworks/tests/test_cache.py
@@ -4,8 +4,8 @@
 
 from attrs import evolve
 
-from gentianworks.core.attempts import AgentState
-from gentianworks.core.cache import (
+from gentianworks.core.agents.attempts import AgentState
+from gentianworks.core.cache.cache import (
     MAX_IMPORTS,
     MAX_MISSES,
     MAX_MOVES,
@@ -31,7 +31,7 @@
 from gentianworks.core.events.lifecycle import ShutdownRequested, StopDue
 from gentianworks.core.events.membership import EndpointState
 from gentianworks.core.handlers import reduce
-from gentianworks.core.placement import PlacementKey, place_request
+from gentianworks.core.routing.placement import PlacementKey, place_request
 from gentianworks.core.state import State
 from gentianworks.core.types import Role
 from gentianworks.tests.fixtures import NOW, REQUEST, build_state
--- a/gentianworks/tests/test_cache_moves.py
+++ b/gentianworks/tests/test_cache_moves.py
@@ -15,10 +15,10 @@
 from gentianworks.codecs.frames import encode_frame
 from gentianworks.codecs.messages import MessageCodec
 from gentianworks.codecs.requests import ENDPOINT_HEADER, digest_messages
-from gentianworks.core.cache import CachedPrompt
+from gentianworks.core.cache.cache import CachedPrompt
 from gentianworks.core.events.base import Message
 from gentianworks.core.events.cache import PromptEnd, PromptOffer, PromptPiece
-from gentianworks.core.placement import PlacementKey
+from gentianworks.core.routing.placement import PlacementKey
 from gentianworks.web.pools import create_pool
 from standins.cache import Part
 from standins.client import Answer, Chat, send_chat
--- a/gentianworks/tests/test_claims.py
+++ b/gentianworks/tests/test_claims.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from gentianworks.core.fingerprints import digest_request
-from gentianworks.core.suspects import Suspect
+from gentianworks.core.quarantine.fingerprints import digest_request
+from gentianworks.core.quarantine.suspects import Suspect
 from gentianworks.core.types import Problem, ProblemKind, RunState
 from properties.ledger_parts import Parcel
 from properties.ledger_world import AGENTS, CONTROL, LedgerWorld
--- a/gentianworks/tests/test_configuring.py
+++ b/gentianworks/tests/test_configuring.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from gentianworks.core.audit import AuditAction
 from gentianworks.core.commands.base import apply_command
 from gentianworks.core.commands.configuration import ConfigurationChanged
-from gentianworks.core.configuring import build_command
+from gentianworks.core.configuration.configuring import build_command
 from gentianworks.core.events.operators import ApplyRequested
+from gentianworks.core.operators.audit import AuditAction
 from gentianworks.core.state import State
 from gentianworks.core.types import (
     Configuration,
--- a/gentianworks/tests/test_distribution.py
+++ b/gentianworks/tests/test_distribution.py
@@ -12,8 +12,8 @@
 import pytest
 from attrs import define, evolve, field
 
-from gentianworks.core.differences import compare
-from gentianworks.core.distribution import take_configuration
+from gentianworks.core.configuration.differences import compare
+from gentianworks.core.configuration.distribution import take_configuration
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.lifecycle import SendMessage, SetTimer
 from gentianworks.core.events.base import Event, Message
--- a/gentianworks/tests/test_engines.py
+++ b/gentianworks/tests/test_engines.py
@@ -22,7 +22,7 @@
     EngineStarted,
 )
 from gentianworks.core.events.orders import OrderPassed
-from gentianworks.core.fencing import Order, OrderKind, OrderStatus
+from gentianworks.core.orders.fencing import Order, OrderKind, OrderStatus
 from gentianworks.process import Process
 from gentianworks.tests.fixtures import REQUEST, build_state
 from gentianworks.web import loads
--- a/gentianworks/tests/test_fairness.py
+++ b/gentianworks/tests/test_fairness.py
@@ -10,7 +10,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from gentianworks.core.fairness import SHARE_MARGIN, FairQueue, Ticket
+from gentianworks.core.admission.fairness import SHARE_MARGIN, FairQueue, Ticket
 from gentianworks.core.types import Rank
 
 RANKS = (
--- a/gentianworks/tests/test_heartbeats.py
+++ b/gentianworks/tests/test_heartbeats.py
@@ -6,7 +6,6 @@
 from attrs import evolve
 
 from gentianworks.codecs.messages import MessageCodec
-from gentianworks.core import heartbeats, load_sums
 from gentianworks.core.effects.dispatch import SendDispatch
 from gentianworks.core.effects.lifecycle import SendMessage
 from gentianworks.core.events.dispatch import Dispatch
@@ -20,9 +19,11 @@
     SweepDue,
 )
 from gentianworks.core.handlers import reduce
-from gentianworks.core.load_table import REGION_TIMEOUT
-from gentianworks.core.membership import Fleet
-from gentianworks.core.roster import HEARTBEAT_TIMEOUT
+from gentianworks.core.load import sums as load_sums
+from gentianworks.core.load.table import REGION_TIMEOUT
+from gentianworks.core.membership import heartbeats
+from gentianworks.core.membership.membership import Fleet
+from gentianworks.core.membership.roster import HEARTBEAT_TIMEOUT
 from gentianworks.core.state import State
 from gentianworks.core.types import Load, Role, ServiceLoad
 from gentianworks.tests.fixtures import (
--- a/gentianworks/tests/test_journal.py
+++ b/gentianworks/tests/test_journal.py
@@ -8,8 +8,8 @@
 
 from gentianworks.core.commands.members import BeginTerm
 from gentianworks.core.events.replication import JournalContents
-from gentianworks.core.replicated import Replicated
-from gentianworks.core.replication_log import Entry, Position, Snapshot, Vote
+from gentianworks.core.replication.log import Entry, Position, Snapshot, Vote
+from gentianworks.core.replication.replicated import Replicated
 from gentianworks.storage.journal import Journal
 
 
--- a/gentianworks/tests/test_ledger.py
+++ b/gentianworks/tests/test_ledger.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from gentianworks.core import ledger as ledger_module
-from gentianworks.core.fingerprints import identify_key
-from gentianworks.core.ledger import (
+from gentianworks.core.ledger import ledger as ledger_module
+from gentianworks.core.ledger.keys import EXPIRED_KEY_WINDOW, SEGMENT_KEYS, ExpiredKeys
+from gentianworks.core.ledger.ledger import (
     MAX_CLOCK_STEP,
     RECORD_WINDOW,
     Decision,
@@ -18,9 +18,9 @@
     register_incarnation,
     release_key,
 )
-from gentianworks.core.ledger_keys import EXPIRED_KEY_WINDOW, SEGMENT_KEYS, ExpiredKeys
-from gentianworks.core.ledger_records import MAX_CONTENDERS
-from gentianworks.core.ledger_types import ClaimStatus, ClaimVerdict, RecordedAnswer
+from gentianworks.core.ledger.records import MAX_CONTENDERS
+from gentianworks.core.ledger.types import ClaimStatus, ClaimVerdict, RecordedAnswer
+from gentianworks.core.quarantine.fingerprints import identify_key
 
 NOW = 1000.0
 BODY = b"x" * 100
--- a/gentianworks/tests/test_load.py
+++ b/gentianworks/tests/test_load.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from gentianworks.core.load import (
+from gentianworks.core.load.load import (
     MEAN_TIMEOUT,
     Bound,
     compute_bound,
--- a/gentianworks/tests/test_load_sums.py
+++ b/gentianworks/tests/test_load_sums.py
@@ -5,8 +5,6 @@
 import pytest
 from attrs import evolve
 
-from gentianworks.core import heartbeats, load_sums
-from gentianworks.core.bounds import find_bound
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.lifecycle import SendMessage
 from gentianworks.core.events.lifecycle import Started
@@ -21,11 +19,14 @@
     SweepDue,
 )
 from gentianworks.core.handlers import reduce
-from gentianworks.core.heartbeats import LOAD_TIMEOUT, SUM_TIMEOUT
-from gentianworks.core.load_reports import report_change
-from gentianworks.core.load_sums import find_total
-from gentianworks.core.load_table import BACKLOG_TIME
-from gentianworks.core.membership import HEARTBEAT_INTERVAL
+from gentianworks.core.load import sums as load_sums
+from gentianworks.core.load.bounds import find_bound
+from gentianworks.core.load.reports import report_change
+from gentianworks.core.load.sums import find_total
+from gentianworks.core.load.table import BACKLOG_TIME
+from gentianworks.core.membership import heartbeats
+from gentianworks.core.membership.heartbeats import LOAD_TIMEOUT, SUM_TIMEOUT
+from gentianworks.core.membership.membership import HEARTBEAT_INTERVAL
 from gentianworks.core.state import State
 from gentianworks.core.types import Load, Role, ServiceLoad
 from gentianworks.tests.agents import find
--- a/gentianworks/tests/test_orders.py
+++ b/gentianworks/tests/test_orders.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from gentianworks.core.attempts import AgentState
+from gentianworks.core.agents.attempts import AgentState
 from gentianworks.core.commands.base import apply_command
 from gentianworks.core.commands.fencing import IssueOrder, OrderIssued
 from gentianworks.core.effects.base import Effect
@@ -17,17 +17,17 @@
     OrderReported,
     OrderRequested,
 )
-from gentianworks.core.fencing import (
+from gentianworks.core.handlers import reduce
+from gentianworks.core.membership.heartbeats import build_heartbeat
+from gentianworks.core.orders.fencing import (
     MAX_PENDING_ORDERS,
     Order,
     OrderBook,
     OrderKind,
     OrderStatus,
 )
-from gentianworks.core.handlers import reduce
-from gentianworks.core.heartbeats import build_heartbeat
-from gentianworks.core.ordering import give_order
-from gentianworks.core.replicated import Replicated
+from gentianworks.core.orders.ordering import give_order
+from gentianworks.core.replication.replicated import Replicated
 from gentianworks.core.state import State
 from gentianworks.core.types import Node, ProblemKind, Role
 from gentianworks.tests.fixtures import NOW, build_agent_at, build_state
--- a/gentianworks/tests/test_placement.py
+++ b/gentianworks/tests/test_placement.py
@@ -6,7 +6,7 @@
 
 from attrs import evolve
 
-from gentianworks.core.placement import SHARD_ENDPOINTS, place_request
+from gentianworks.core.routing.placement import SHARD_ENDPOINTS, place_request
 from gentianworks.tests.fixtures import REQUEST, build_configuration
 
 CHATS = 2000
--- a/gentianworks/tests/test_process.py
+++ b/gentianworks/tests/test_process.py
@@ -12,7 +12,7 @@
 from anyio.abc import TaskGroup
 from attrs import define, field, frozen
 
-from gentianworks.core.cache import CachedPrompt, MoveFailure
+from gentianworks.core.cache.cache import CachedPrompt, MoveFailure
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.cache import MovePrompt
 from gentianworks.core.effects.callers import FinishAnswer
@@ -30,9 +30,9 @@
     EngineLoadMissing,
 )
 from gentianworks.core.events.orders import OrderPassed
-from gentianworks.core.fencing import Order, OrderKind, OrderStatus
 from gentianworks.core.handlers import reduce
-from gentianworks.core.placement import PlacementKey
+from gentianworks.core.orders.fencing import Order, OrderKind, OrderStatus
+from gentianworks.core.routing.placement import PlacementKey
 from gentianworks.core.state import State
 from gentianworks.process import EXIT_FAULT, Process, perform
 from gentianworks.tests.fixtures import NOW, REQUEST, build_state
--- a/gentianworks/tests/test_quarantine.py
+++ b/gentianworks/tests/test_quarantine.py
@@ -4,7 +4,7 @@
 
 from attrs import evolve
 
-from gentianworks.core.attempts import AgentState
+from gentianworks.core.agents.attempts import AgentState
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.dispatch import SendFrame
 from gentianworks.core.effects.engines import CallEngine, CancelCall
@@ -26,12 +26,12 @@
     TrialDue,
     TrialWanted,
 )
-from gentianworks.core.fingerprints import digest_request
 from gentianworks.core.handlers import reduce
-from gentianworks.core.recording import withdraw_queued
+from gentianworks.core.ledger.recording import withdraw_queued
+from gentianworks.core.quarantine.fingerprints import digest_request
+from gentianworks.core.quarantine.suspect_copies import TRIAL_PATIENCE
+from gentianworks.core.quarantine.suspects import SuspectBook
 from gentianworks.core.state import State
-from gentianworks.core.suspect_copies import TRIAL_PATIENCE
-from gentianworks.core.suspects import SuspectBook
 from gentianworks.core.types import Node, ProblemKind, Role, RunState
 from gentianworks.tests.fixtures import NOW, REQUEST, build_configuration
 
--- a/gentianworks/tests/test_registration.py
+++ b/gentianworks/tests/test_registration.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
+from gentianworks.core.agents.registration import warn_if_misplaced
 from gentianworks.core.effects.lifecycle import LogEvent, SendMessage
 from gentianworks.core.events.ledger import IncarnationStarted, RegistrationDue
 from gentianworks.core.handlers import reduce
-from gentianworks.core.registration import warn_if_misplaced
 from gentianworks.core.state import State
 from gentianworks.tests.fixtures import NOW, build_agent_at
 
--- a/gentianworks/tests/test_replication.py
+++ b/gentianworks/tests/test_replication.py
@@ -16,21 +16,21 @@
     VoteResponse,
 )
 from gentianworks.core.handlers import reduce
-from gentianworks.core.proposals import confirm_read
-from gentianworks.core.replication import (
+from gentianworks.core.replication.elections import is_leading, stand_for_election
+from gentianworks.core.replication.leading import (
+    advance_commit,
+    append_command,
+)
+from gentianworks.core.replication.log import Entry, Position, Vote
+from gentianworks.core.replication.peers import get_replication
+from gentianworks.core.replication.proposals import confirm_read
+from gentianworks.core.replication.replication import (
     ELECTION_TIMEOUT_MAX,
     ControlRole,
     PendingProposal,
     Replication,
 )
-from gentianworks.core.replication_elections import is_leading, stand_for_election
-from gentianworks.core.replication_leading import (
-    advance_commit,
-    append_command,
-)
-from gentianworks.core.replication_log import Entry, Position, Vote
-from gentianworks.core.replication_peers import get_replication
-from gentianworks.core.replication_timers import (
+from gentianworks.core.replication.timers import (
     IDLE_INTERVAL,
     TICK_INTERVAL,
     find_next_tick,
--- a/gentianworks/tests/test_replication_members.py
+++ b/gentianworks/tests/test_replication_members.py
@@ -5,14 +5,14 @@
 from attrs import evolve
 
 from gentianworks.core.effects.lifecycle import LogEvent
-from gentianworks.core.replication_formation import CAUGHT_UP_TIMEOUT, change_members
-from gentianworks.core.replication_leading import (
+from gentianworks.core.replication.formation import CAUGHT_UP_TIMEOUT, change_members
+from gentianworks.core.replication.leading import (
     advance_commit,
     find_progress,
 )
-from gentianworks.core.replication_members import ControlMember, Membership
-from gentianworks.core.replication_peers import get_replication
-from gentianworks.core.replication_warnings import (
+from gentianworks.core.replication.members import ControlMember, Membership
+from gentianworks.core.replication.peers import get_replication
+from gentianworks.core.replication.warnings import (
     SILENCE_TIMEOUT,
     WARNING_INTERVAL,
     warn_of_silence,
--- a/gentianworks/tests/test_routing.py
+++ b/gentianworks/tests/test_routing.py
@@ -4,7 +4,6 @@
 
 import pytest
 
-from gentianworks.core.avoidance import MAX_FAILURE_SKIP
 from gentianworks.core.effects.callers import RefuseRequest
 from gentianworks.core.effects.dispatch import SendDispatch
 from gentianworks.core.effects.lifecycle import SendMessage
@@ -13,8 +12,9 @@
 from gentianworks.core.events.ledger import ClaimAnswered, ClaimWanted, ProofDue
 from gentianworks.core.events.membership import EndpointState, HeartbeatAnswer
 from gentianworks.core.handlers import reduce
-from gentianworks.core.ledger_types import Claim, ClaimVerdict
-from gentianworks.core.retry import MAX_BUDGET
+from gentianworks.core.ledger.types import Claim, ClaimVerdict
+from gentianworks.core.routing.avoidance import MAX_FAILURE_SKIP
+from gentianworks.core.routing.retry import MAX_BUDGET
 from gentianworks.core.state import State
 from gentianworks.core.types import (
     AdmissionLevel,
--- a/gentianworks/tests/test_serving.py
+++ b/gentianworks/tests/test_serving.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from gentianworks.core.admission.preemption import suspend_attempt
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.dispatch import SendFrame
 from gentianworks.core.effects.engines import (
@@ -26,7 +27,6 @@
 from gentianworks.core.events.lifecycle import ShutdownRequested, Started
 from gentianworks.core.events.membership import EndpointState
 from gentianworks.core.handlers import reduce
-from gentianworks.core.preemption import suspend_attempt
 from gentianworks.core.state import State
 from gentianworks.core.types import (
     Load,
--- a/gentianworks/tests/test_store.py
+++ b/gentianworks/tests/test_store.py
@@ -9,8 +9,8 @@
 from anyio.abc import TaskGroup
 
 from gentianworks.core.effects.replication import SaveSnapshot
-from gentianworks.core.replicated import Replicated
-from gentianworks.core.replication_log import Position, Snapshot, Vote
+from gentianworks.core.replication.log import Position, Snapshot, Vote
+from gentianworks.core.replication.replicated import Replicated
 from gentianworks.core.types import Role
 from gentianworks.process import Process
 from gentianworks.storage.errors import EXIT_STORAGE
--- a/gentianworks/tests/test_streams.py
+++ b/gentianworks/tests/test_streams.py
@@ -7,7 +7,7 @@
 from gentianworks.core.effects.callers import AbortAnswer, FinishAnswer, RelayPiece
 from gentianworks.core.events.dispatch import AttemptCut
 from gentianworks.core.handlers import reduce
-from gentianworks.core.retry import MAX_RESUMES
+from gentianworks.core.routing.retry import MAX_RESUMES
 from gentianworks.core.state import State
 from gentianworks.core.types import ProblemKind, RunState
 from gentianworks.tests.fixtures import (
--- a/gentianworks/tests/test_tombstones.py
+++ b/gentianworks/tests/test_tombstones.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from gentianworks.core import tombstones
-from gentianworks.core.ledger_types import Claim, VoidVerdict
-from gentianworks.core.tombstones import AttemptMark, OnceGuard
+from gentianworks.core.ledger import tombstones
+from gentianworks.core.ledger.tombstones import AttemptMark, OnceGuard
+from gentianworks.core.ledger.types import Claim, VoidVerdict
 
 
 class TestOnceGuard:
--- a/gentianworks/web/engines.py
+++ b/gentianworks/web/engines.py
@@ -12,7 +12,7 @@
     WholeCutter,
 )
 from gentianworks.codecs.usage import TailReader
-from gentianworks.core.attempts import name_call
+from gentianworks.core.agents.attempts import name_call
 from gentianworks.core.effects.engines import CallEngine, CancelCall
 from gentianworks.core.events.engines import (
     CallFailure,
--- a/gentianworks/web/operators.py
+++ b/gentianworks/web/operators.py
@@ -26,7 +26,7 @@
 )
 from gentianworks.core.events.orders import OrderRequested
 from gentianworks.core.events.quarantine import ReleaseRequested
-from gentianworks.core.reports import Report
+from gentianworks.core.operators.reports import Report
 from gentianworks.core.types import Problem, ProblemKind
 from gentianworks.metrics import Metrics
 from gentianworks.process import Process
--- a/gentianworks/web/orders.py
+++ b/gentianworks/web/orders.py
@@ -10,7 +10,7 @@
 
 from gentianworks.core.effects.orders import PassOrder
 from gentianworks.core.events.orders import OrderPassed
-from gentianworks.core.fencing import Order, OrderStatus
+from gentianworks.core.orders.fencing import Order, OrderStatus
 from gentianworks.process import Process, perform
 from gentianworks.web.loads import FAILURES
 from gentianworks.web.pools import create_pool, limit_silence
--- a/properties/control_group.py
+++ b/properties/control_group.py
@@ -11,7 +11,6 @@
 
 from attrs import define, field
 
-from gentianworks.core.control import ControlState
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.lifecycle import SendMessage, SetTimer
 from gentianworks.core.effects.replication import (
@@ -30,10 +29,11 @@
     SnapshotDecoded,
 )
 from gentianworks.core.handlers import reduce
-from gentianworks.core.proposals import confirm_read, propose
-from gentianworks.core.replication import Replication
-from gentianworks.core.replication_log import Entry, Log, Position, Snapshot, Vote
-from gentianworks.core.replication_peers import get_replication
+from gentianworks.core.replication.control import ControlState
+from gentianworks.core.replication.log import Entry, Log, Position, Snapshot, Vote
+from gentianworks.core.replication.peers import get_replication
+from gentianworks.core.replication.proposals import confirm_read, propose
+from gentianworks.core.replication.replication import Replication
 from gentianworks.core.state import State
 from gentianworks.core.types import Node, Role
 from properties.disks import Disk
--- a/properties/items.py
+++ b/properties/items.py
@@ -8,7 +8,7 @@
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.events.base import Event
 from gentianworks.core.handlers import reduce
-from gentianworks.core.replicated import Replicated
+from gentianworks.core.replication.replicated import Replicated
 from gentianworks.core.state import State
 
 
--- a/properties/ledger_world.py
+++ b/properties/ledger_world.py
@@ -7,7 +7,7 @@
 
 from attrs import define, field
 
-from gentianworks.core.attempts import AgentState
+from gentianworks.core.agents.attempts import AgentState
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.callers import (
     AbortAnswer,
@@ -39,7 +39,7 @@
 from gentianworks.core.events.lifecycle import Started
 from gentianworks.core.events.membership import HeartbeatDue
 from gentianworks.core.handlers import reduce
-from gentianworks.core.ledger_types import ClaimVerdict
+from gentianworks.core.ledger.types import ClaimVerdict
 from gentianworks.core.state import State
 from gentianworks.core.types import (
     Configuration,
--- a/properties/test_admission.py
+++ b/properties/test_admission.py
@@ -15,8 +15,7 @@
     rule,
 )
 
-from gentianworks.core.attempts import AgentState
-from gentianworks.core.bounds import find_bound
+from gentianworks.core.agents.attempts import AgentState
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.dispatch import SendFrame
 from gentianworks.core.effects.engines import CallEngine, CancelCall
@@ -40,7 +39,8 @@
 )
 from gentianworks.core.events.lifecycle import ShutdownRequested
 from gentianworks.core.handlers import reduce
-from gentianworks.core.load import add_loads
+from gentianworks.core.load.bounds import find_bound
+from gentianworks.core.load.load import add_loads
 from gentianworks.core.state import State
 from gentianworks.core.types import (
     Configuration,
--- a/properties/test_configuring.py
+++ b/properties/test_configuring.py
@@ -14,16 +14,16 @@
     run_state_machine_as_test,
 )
 
-from gentianworks.core.audit import find_break
-from gentianworks.core.changes import ChangeRecord
 from gentianworks.core.commands.base import apply_command
 from gentianworks.core.commands.configuration import (
     ChangeConfiguration,
     ConfigurationChanged,
 )
-from gentianworks.core.configuring import build_command
+from gentianworks.core.configuration.changes import ChangeRecord
+from gentianworks.core.configuration.configuring import build_command
 from gentianworks.core.events.operators import ApplyRequested
-from gentianworks.core.replicated import Replicated
+from gentianworks.core.operators.audit import find_break
+from gentianworks.core.replication.replicated import Replicated
 from gentianworks.core.state import State
 from gentianworks.core.types import Configuration, Node, Role, Workspace
 
--- a/properties/test_distribution.py
+++ b/properties/test_distribution.py
@@ -11,8 +11,11 @@
     run_state_machine_as_test,
 )
 
-from gentianworks.core.differences import compare
-from gentianworks.core.distribution import adopt_replicated, take_configuration
+from gentianworks.core.configuration.differences import compare
+from gentianworks.core.configuration.distribution import (
+    adopt_replicated,
+    take_configuration,
+)
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.lifecycle import SendMessage
 from gentianworks.core.events.base import Event
--- a/properties/test_load_bound.py
+++ b/properties/test_load_bound.py
@@ -11,8 +11,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from gentianworks.core import heartbeats, load_sums
-from gentianworks.core.attempts import AgentState
+from gentianworks.core.agents.attempts import AgentState
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.lifecycle import SendMessage, SetTimer
 from gentianworks.core.events.base import Event
@@ -20,8 +19,10 @@
 from gentianworks.core.events.engines import EngineEnded
 from gentianworks.core.events.membership import HeartbeatDue, SweepDue
 from gentianworks.core.handlers import reduce
-from gentianworks.core.load import DEFAULT_RUN_TIME
-from gentianworks.core.membership import HEARTBEAT_INTERVAL
+from gentianworks.core.load import sums as load_sums
+from gentianworks.core.load.load import DEFAULT_RUN_TIME
+from gentianworks.core.membership import heartbeats
+from gentianworks.core.membership.membership import HEARTBEAT_INTERVAL
 from gentianworks.core.state import State
 from gentianworks.core.types import Configuration, Node, Role
 from gentianworks.tests.fixtures import NOW, REQUEST, build_configuration
--- a/properties/test_trials.py
+++ b/properties/test_trials.py
@@ -18,8 +18,7 @@
     rule,
 )
 
-from gentianworks.core import suspect_copies
-from gentianworks.core.attempts import AgentState
+from gentianworks.core.agents.attempts import AgentState
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.engines import CallEngine, CancelCall
 from gentianworks.core.effects.lifecycle import SendMessage, SetTimer
@@ -27,8 +26,9 @@
 from gentianworks.core.events.dispatch import Dispatch
 from gentianworks.core.events.engines import CallFailure, EngineEnded, EngineFailed
 from gentianworks.core.events.quarantine import SuspectsChanged
-from gentianworks.core.fingerprints import digest_request
 from gentianworks.core.handlers import reduce
+from gentianworks.core.quarantine import suspect_copies
+from gentianworks.core.quarantine.fingerprints import digest_request
 from gentianworks.core.state import State
 from gentianworks.core.types import Node, Role
 from gentianworks.tests.fixtures import NOW, REQUEST, build_configuration
--- a/standins/control.py
+++ b/standins/control.py
@@ -8,7 +8,7 @@
 from attrs import define, field, frozen
 
 from gentianworks.commandline.client import ControlClient
-from gentianworks.core.reports import (
+from gentianworks.core.operators.reports import (
     ChangeReport,
     ConfigurationReport,
     StatusReport,
--- a/standins/payments.py
+++ b/standins/payments.py
@@ -11,7 +11,7 @@
 from attrs import define, frozen
 
 from gentianworks.commandline.client import ControlClient
-from gentianworks.core.reports import KeyReport
+from gentianworks.core.operators.reports import KeyReport
 from standins.engine import EngineSettings
 from standins.fleet import EndpointPlan, Fleet, FleetPlan, wait_for_status, wait_until
 from standins.members import Member
