--- a/gentianworks/core/gateway/attempts.py
+++ b/gentianworks/core/gateway/attempts.py
@@ -44,7 +44,10 @@
     if answer.is_unrun:
         detail = f"the replica refused it with status {answer.status}"
         drop = DropCall(exchange.attempt)
-        return [drop, *lose(exchange, RunState.NOT_RUN, detail, state, now)]
+        # The replica that was meant never got a call that another one turned away.
+        is_unsent = answer.is_other
+        lost = lose(exchange, RunState.NOT_RUN, detail, state, now, is_unsent)
+        return [drop, *lost]
     fault = _find_fault(exchange, answer, gateway)
     if fault:
         drop = DropCall(exchange.attempt)
--- a/gentianworks/tests/test_gateway_serving.py
+++ b/gentianworks/tests/test_gateway_serving.py
@@ -174,6 +174,14 @@
             repeated += CallReplica in list_kinds(reduce(failed, state, NOW))
         assert repeated == 1
 
+    def test_a_call_that_met_another_replica_is_not_an_attempt(self) -> None:
+        state = build_gateway()
+        sent = find(CallReplica, send_call(state, **PAY))
+        changes = {"status": 421, "is_unrun": True, "is_other": True}
+        again = find(CallReplica, answer(sent, state, **changes))
+        refused = answer(again, state, status=503, is_unrun=True)
+        assert find(CallReplica, refused).replica not in (sent.replica, again.replica)
+
     def test_a_replica_at_anothers_address_is_not_used_again(self) -> None:
         state = build_gateway(replicas=1)
         sent = find(CallReplica, send_call(state, **READ))
