Log the end of each call with its grounds, bound the log, and count calls

Cause: on-call engineers have only logs and metrics, and a refusal left no line. Change: GW5107 to GW5111 tell of each call's end with the age and version of what decided it; the writer never waits for its reader, and counts what it drops; calls are counted and timed on a metrics address of each role.

--- a/gentianworks/core/gateway/attempts.py
+++ b/gentianworks/core/gateway/attempts.py
@@ -16,6 +16,7 @@
     SilenceDue,
 )
 from gentianworks.core.gateway.admission import note_duration
+from gentianworks.core.gateway.details import describe_call
 from gentianworks.core.gateway.serving import RETRY_AFTER, refuse, send_next
 from gentianworks.core.gateway.state import GatewayExchange, GatewayState
 from gentianworks.core.gateway.tables import Repetition
@@ -111,7 +112,7 @@
         return []
     gateway.avoidance.note_failure(name, now)
     if not _may_repeat(exchange, gateway):
-        return []
+        return [LogEvent("GW5110", describe_call(exchange, gateway, now))]
     detail = f"the replica was silent for {now - exchange.sent_at:.2f} s"
     drop = DropCall(exchange.attempt)
     return [drop, *lose(exchange, RunState.UNKNOWN, detail, state, now)]
@@ -150,8 +151,9 @@
     if gateway is None or exchange is None:
         return []
     note_duration(exchange.service, now - exchange.sent_at, gateway)
+    log = LogEvent("GW5108", describe_call(exchange, gateway, now))
     gateway.forget(exchange)
-    return [FinishAnswer(exchange.id)]
+    return [log, FinishAnswer(exchange.id)]
 
 
 @reduce.register
@@ -188,18 +190,15 @@
     log = LogEvent(
         "GW5101",
         (
-            ("request", exchange.call.request_id),
-            ("route", exchange.route.name),
-            ("replica", name),
+            *describe_call(exchange, gateway, now),
             ("cause", detail),
-            ("run_state", run_state.value),
-            ("attempts", str(exchange.attempts)),
             ("repeated", str(is_repeated)),
+            ("budget", f"{gateway.find_budget(exchange.service).retries:.1f}"),
         ),
     )
     if is_repeated:
         return [log, *send_next(exchange, gateway, state, now)]
-    return [log, *refuse(exchange, _describe(exchange, name, detail), gateway)]
+    return [log, *refuse(exchange, _describe(exchange, name, detail), gateway, now)]
 
 
 def _may_send_again(
--- a/gentianworks/core/gateway/serving.py
+++ b/gentianworks/core/gateway/serving.py
@@ -4,10 +4,12 @@
 
 import random
 
+from attrs import evolve
+
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.callers import AbortAnswer, RefuseRequest
 from gentianworks.core.effects.gateway import CallReplica, DropCall
-from gentianworks.core.effects.lifecycle import SetTimer
+from gentianworks.core.effects.lifecycle import LogEvent, SetTimer
 from gentianworks.core.events.gateway import (
     CallArrived,
     CallExpired,
@@ -16,6 +18,7 @@
 )
 from gentianworks.core.gateway.admission import find_retry_after
 from gentianworks.core.gateway.calls import Call
+from gentianworks.core.gateway.details import describe_call
 from gentianworks.core.gateway.placing import choose_replica
 from gentianworks.core.gateway.replicas import Replica
 from gentianworks.core.gateway.sources import find_source
@@ -35,14 +38,15 @@
 def _(event: CallArrived, state: State, now: float) -> list[Effect]:
     gateway = state.gateway
     if gateway is None or gateway.table is None:
-        return [RefuseRequest(event.exchange, _describe_unready(gateway, now))]
+        problem = _describe_unready(gateway, now)
+        return _refuse_unplaced(event, problem, gateway)
     call = event.call
     route = gateway.table.find_route(call.host, call.path)
     if route is None:
-        return [RefuseRequest(event.exchange, _describe_unknown(call))]
+        return _refuse_unplaced(event, _describe_unknown(call), gateway)
     holder = gateway.table.find_holder(call.key) if call.key else None
     if holder is None and gateway.table.workspaces and not route.is_open:
-        return [RefuseRequest(event.exchange, _describe_key(call))]
+        return _refuse_unplaced(event, _describe_key(call), gateway)
     exchange = GatewayExchange(
         id=event.exchange,
         call=call,
@@ -84,10 +88,11 @@
         exchange.service, exchange.call, exchange.tried, gateway, now
     )
     if replica is None:
-        return refuse(exchange, _describe_none(exchange), gateway)
+        return refuse(exchange, _describe_none(exchange), gateway, now)
     retry_after = find_retry_after(exchange, replica, gateway, now)
     if retry_after:
-        return refuse(exchange, _describe_full(exchange, retry_after), gateway)
+        problem = _describe_full(exchange, retry_after)
+        return refuse(exchange, problem, gateway, now)
     return send_attempt(exchange, replica, gateway, state, now)
 
 
@@ -127,16 +132,39 @@
 
 
 def refuse(
-    exchange: GatewayExchange, problem: Problem, gateway: GatewayState
+    exchange: GatewayExchange, problem: Problem, gateway: GatewayState, now: float
 ) -> list[Effect]:
     """End a call with a problem, cutting its answer off if it has begun."""
-    drop = [DropCall(exchange.attempt)] if exchange.attempt else []
+    exchange.run_state = combine_run_states(problem.run_state, exchange.run_state)
+    details = (
+        *describe_call(exchange, gateway, now),
+        ("problem", problem.kind.value),
+        ("started", str(exchange.has_started)),
+        ("retry_after", f"{problem.retry_after:.2f}"),
+        ("detail", problem.detail),
+    )
+    effects: list[Effect] = [LogEvent("GW5107", details)]
+    if exchange.attempt:
+        effects.append(DropCall(exchange.attempt))
     gateway.forget(exchange)
     if exchange.has_started:
-        return [*drop, AbortAnswer(exchange.id, problem)]
-    run_state = combine_run_states(problem.run_state, exchange.run_state)
-    told = Problem(problem.kind, problem.detail, run_state, problem.retry_after)
-    return [*drop, RefuseRequest(exchange.id, told)]
+        return [*effects, AbortAnswer(exchange.id, problem)]
+    told = evolve(problem, run_state=exchange.run_state)
+    return [*effects, RefuseRequest(exchange.id, told)]
+
+
+def _refuse_unplaced(
+    event: CallArrived, problem: Problem, gateway: GatewayState | None
+) -> list[Effect]:
+    table = gateway.table if gateway else None
+    details = (
+        ("request", event.call.request_id),
+        ("host", event.call.host),
+        ("path", event.call.path),
+        ("problem", problem.kind.value),
+        ("table", str(table.revision if table else 0)),
+    )
+    return [LogEvent("GW5111", details), RefuseRequest(event.exchange, problem)]
 
 
 @reduce.register
@@ -151,7 +179,7 @@
         f"with more time, or when the service is less busy.",
         RunState.UNKNOWN,
     )
-    return refuse(exchange, problem, gateway)
+    return refuse(exchange, problem, gateway, now)
 
 
 @reduce.register
@@ -161,8 +189,9 @@
     if gateway is None or exchange is None:
         return []
     attempt = exchange.attempt
+    log = LogEvent("GW5109", describe_call(exchange, gateway, now))
     gateway.forget(exchange)
-    return [DropCall(attempt)] if attempt else []
+    return [log, DropCall(attempt)] if attempt else [log]
 
 
 def _describe_unready(gateway: GatewayState | None, now: float) -> Problem:
--- a/gentianworks/core/observations.py
+++ b/gentianworks/core/observations.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 from functools import singledispatch
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.callers import (
@@ -20,6 +20,7 @@
 )
 from gentianworks.core.effects.dispatch import SendFrame
 from gentianworks.core.effects.engines import CallEngine
+from gentianworks.core.effects.gateway import CallReplica
 from gentianworks.core.effects.metrics import (
     CountAttempt,
     CountRequest,
@@ -36,18 +37,35 @@
     RouterLeft,
 )
 from gentianworks.core.events.engines import EnginePiece
-from gentianworks.core.types import AttemptId, ExchangeId, Request
+from gentianworks.core.events.gateway import CallArrived, CallLeft
+from gentianworks.core.types import (
+    AttemptId,
+    ExchangeId,
+    RankName,
+    Request,
+    ServiceName,
+    WorkspaceName,
+)
 
 SERVED = "served"
 CALLER_LEFT = "caller-left"
 ROUTER_LEFT = "router-left"
 
 
+@frozen
+class Measured:
+    """Hold what a call of a gateway is counted under."""
+
+    service: ServiceName = ""
+    workspace: WorkspaceName = ""
+    rank: RankName = ""
+
+
 @define
 class Observed:
     """Hold a request or attempt whose end is not yet seen."""
 
-    request: Request
+    request: Request | Measured
     began_at: float
     endpoint: str = ""
     has_begun: bool = False
@@ -85,6 +103,26 @@
     return []
 
 
+@observe.register
+def _(event: CallArrived, observations: Observations, now: float) -> list[Effect]:
+    observations.requests[event.exchange] = Observed(Measured(), now)
+    return []
+
+
+@observe.register
+def _(effect: CallReplica, observations: Observations, now: float) -> list[Effect]:
+    observed = observations.requests.get(effect.exchange)
+    if observed is not None:
+        service = effect.replica.service
+        observed.request = Measured(service, effect.workspace, str(effect.urgency))
+    return []
+
+
+@observe.register
+def _(event: CallLeft, observations: Observations, now: float) -> list[Effect]:
+    return _end_request(event.exchange, CALLER_LEFT, observations)
+
+
 @observe.register
 def _(effect: RelayPiece, observations: Observations, now: float) -> list[Effect]:
     observed = observations.requests.get(effect.exchange)
--- a/gentianworks/log.py
+++ b/gentianworks/log.py
@@ -9,6 +9,7 @@
 
 from attrs import frozen
 
+from gentianworks.log_writer import BoundedHandler
 from gentianworks.settings import LogSettings
 
 NO_REMEDY = "Nothing needs doing."
@@ -148,6 +149,16 @@
         CatalogueEntry(
             "GW5101", "A call failed at a replica; it is sent again or refused."
         ),
+        CatalogueEntry(
+            "GW5107",
+            "A call was refused or cut off; the details tell why and on what ground.",
+        ),
+        CatalogueEntry("GW5108", "A call was served."),
+        CatalogueEntry("GW5109", "A caller left before its answer had ended."),
+        CatalogueEntry(
+            "GW5110", "A replica has answered nobody for a while and is passed over."
+        ),
+        CatalogueEntry("GW5111", "A call was refused before it had a route."),
         CatalogueEntry("GW5102", "The list tells of a new or changed replica."),
         CatalogueEntry("GW5103", "The list tells of a replica no more."),
         CatalogueEntry("GW5104", "The list holds entries that can't be read."),
@@ -235,8 +246,13 @@
 
 
 def configure_log(settings: LogSettings, is_standard_output: bool = False) -> None:
-    """Send the log to standard error or output in the form that is set."""
-    handler = logging.StreamHandler(sys.stdout if is_standard_output else sys.stderr)
+    """Send the log to standard error in the form that is set.
+
+    On standard output the number of lines is bounded and none waits for a reader.
+    """
+    handler: logging.Handler = logging.StreamHandler()
+    if is_standard_output:
+        handler = BoundedHandler(sys.stdout.fileno())
     is_json = settings.format == "json"
     handler.setFormatter(JsonFormatter() if is_json else TextFormatter())
     logging.basicConfig(level=settings.level, handlers=[handler], force=True)
--- a/gentianworks/metrics.py
+++ b/gentianworks/metrics.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
+from attrs import frozen
 
 from gentianworks.codecs.usage import find_usage
 from gentianworks.core.effects.metrics import (
@@ -121,7 +122,10 @@
         self.revision.set({"state": "held"}, state.distribution.newest.revision)
         self.revision.set({"state": "in-force"}, state.configuration.revision)
         self.leading.set({}, int(is_leading(state, now)))
-        self.load.set({"kind": "exchanges"}, len(state.router.exchanges))
+        exchanges = len(state.router.exchanges)
+        if state.gateway is not None:
+            exchanges += len(state.gateway.exchanges)
+        self.load.set({"kind": "exchanges"}, exchanges)
         if state.node.role is Role.CONTROL:
             self._read_ledger(state.control.replicated.ledger)
         if state.agent is not None:
@@ -152,14 +156,35 @@
         self.refused_messages.set({}, refused)
 
 
+@frozen
+class _Known:
+    service: bool
+    workspace: bool
+    rank: bool
+
+
+def _knows(effect: CountRequest, state: State) -> _Known:
+    """Tell which names of a request operators have declared."""
+    if state.gateway is not None:
+        # A gateway takes them from its table; without a route they are empty.
+        has_route = bool(effect.service)
+        return _Known(has_route, bool(effect.workspace), has_route)
+    known = state.configuration
+    return _Known(
+        known.find_service(effect.service) is not None,
+        known.find_workspace(effect.workspace) is not None,
+        known.find_rank(effect.rank) is not None,
+    )
+
+
 @perform.register
 def _(effect: CountRequest, process: Process) -> None:
     metrics = process.get_service(Metrics)
-    known = process.state.configuration
+    is_known = _knows(effect, process.state)
     labels = metrics.label(
-        service=effect.service if known.find_service(effect.service) else OTHER,
-        workspace=effect.workspace if known.find_workspace(effect.workspace) else OTHER,
-        rank=effect.rank if known.find_rank(effect.rank) else OTHER,
+        service=effect.service if is_known.service else OTHER,
+        workspace=effect.workspace if is_known.workspace else OTHER,
+        rank=effect.rank if is_known.rank else OTHER,
         outcome=effect.outcome,
     )
     metrics.requests.inc(labels)
--- a/gentianworks/platform/runner.py
+++ b/gentianworks/platform/runner.py
@@ -20,6 +20,7 @@
 from gentianworks.core.state import State
 from gentianworks.core.types import Node, Role
 from gentianworks.log import configure_log
+from gentianworks.metrics import Metrics
 from gentianworks.peers.sockets import PeerSockets
 from gentianworks.platform.configuration import (
     DocumentError,
@@ -42,6 +43,7 @@
 from gentianworks.process import Process, perform
 from gentianworks.settings import LogSettings
 from gentianworks.storage.opening import load_journal, open_log
+from gentianworks.web.metrics import MetricsApplication, answer_nothing
 from gentianworks.web.server import Application, Server, create_server
 
 # The platform gives its processes no secret; its network is theirs alone.
@@ -71,6 +73,7 @@
     async with anyio.create_task_group() as tasks:
         process = Process(state=state, tasks=tasks)
         process.add_service(peers)
+        process.add_service(Metrics())
         servers = [
             create_server(application, address)
             for application, address in _assemble(role, settings, process)
@@ -124,13 +127,18 @@
 def _assemble(
     role: Role, settings: MachineSettings, process: Process
 ) -> list[tuple[Application, str]]:
+    metrics = (
+        MetricsApplication(process, answer_nothing),
+        settings.build_metrics_address(role.value),
+    )
     if role is Role.CONTROL:
-        return [(ControlApplication(process), settings.control)]
+        return [(ControlApplication(process), settings.control), metrics]
     process.add_service(ReplicaClient())
     process.add_service(ListingClient(settings.listing_address))
     return [
         (FrontApplication(process), settings.front),
         (ReadyApplication(process), settings.ready),
+        metrics,
     ]
 
 
--- a/gentianworks/platform/settings.py
+++ b/gentianworks/platform/settings.py
@@ -9,6 +9,8 @@
 from attrs import frozen
 
 SETTINGS_VARIABLE = "GENTIANWORKS_BOOT"
+# As the deploy file names them to the platform.
+METRICS_PORT_OF_ROLE = {"router": 9461, "control": 9462}
 PEER_PORT_OF_ROLE = {"router": 0, "control": 1}  # offsets into the internal ports
 
 
@@ -44,6 +46,10 @@
     listing_address: str
     listing_rate: float
 
+    def build_metrics_address(self, role: str) -> str:
+        """Return the IP:PORT at which a role exposes its metrics."""
+        return f"{self.ip}:{METRICS_PORT_OF_ROLE[role]}"
+
     def build_peer_address(self, role: str, ip: str = "") -> str:
         """Return the address for messages to a role on this host or another."""
         port = self.internal_ports[0] + PEER_PORT_OF_ROLE[role]
--- /dev/null
+++ b/gentianworks/tests/test_log_writer.py
@@ -0,0 +1,90 @@
+"""Tests of the log's bounds: a reader that stands still, and a flood of lines."""
+
+from __future__ import annotations
+
+import logging
+import os
+import time
+from collections.abc import Iterator
+
+import pytest
+
+from gentianworks.log import JsonFormatter
+from gentianworks.log_writer import BUFFER_BYTES, MAX_BURST, BoundedHandler
+
+PIPE_BYTES = 64 * 1024
+
+
+@pytest.fixture
+def pipe() -> Iterator[tuple[int, int]]:
+    """Give a pipe and close it afterwards."""
+    reader, writer = os.pipe()
+    os.set_blocking(reader, False)
+    yield reader, writer
+    os.close(reader)
+    os.close(writer)
+
+
+def build_record(
+    level: int = logging.WARNING, text: str = "GW5107"
+) -> logging.LogRecord:
+    """Return a record of a level."""
+    return logging.LogRecord("gentianworks", level, "", 0, text, (), None)
+
+
+def read_all(reader: int) -> bytes:
+    """Return what waits in a pipe."""
+    data = b""
+    while True:
+        try:
+            part = os.read(reader, PIPE_BYTES)
+        except BlockingIOError:
+            return data
+        if not part:
+            return data
+        data += part
+
+
+class TestBounds:
+    def test_a_reader_that_stands_still_holds_nobody_up(
+        self, pipe: tuple[int, int]
+    ) -> None:
+        handler = BoundedHandler(pipe[1])
+        handler.setFormatter(JsonFormatter())
+        began_at = time.monotonic()
+        for _ in range(20_000):
+            handler.emit(build_record())
+        assert time.monotonic() - began_at < 10
+        assert handler.dropped > 0
+        assert len(handler._waiting) <= BUFFER_BYTES
+
+    def test_a_reader_that_goes_on_gets_whole_lines_and_the_number_dropped(
+        self, pipe: tuple[int, int]
+    ) -> None:
+        handler = BoundedHandler(pipe[1])
+        handler.setFormatter(JsonFormatter())
+        for _ in range(5_000):
+            handler.emit(build_record())
+        dropped = handler.dropped
+        data = b""
+        for _ in range(10):
+            data += read_all(pipe[0])
+            handler.flush()
+        handler.emit(build_record(text="GW5108"))
+        data += read_all(pipe[0])
+        lines = data.splitlines()
+        assert all(line.startswith(b"{") and line.endswith(b"}") for line in lines)
+        assert len(lines) == 5_001 - dropped
+        assert f'"dropped_before": "{dropped}"'.encode() in lines[-1]
+
+    def test_a_flood_of_ordinary_lines_is_cut_and_failures_are_kept(
+        self, pipe: tuple[int, int]
+    ) -> None:
+        handler = BoundedHandler(pipe[1])
+        handler.setFormatter(JsonFormatter())
+        for _ in range(10 * MAX_BURST):
+            handler.emit(build_record(logging.INFO))
+            read_all(pipe[0])
+        assert handler.dropped > 5 * MAX_BURST
+        handler.emit(build_record())
+        assert b"GW5107" in read_all(pipe[0])
--- a/gentianworks/web/metrics.py
+++ b/gentianworks/web/metrics.py
@@ -11,6 +11,13 @@
 METRICS_PATH = "/metrics"
 
 
+async def answer_nothing(scope: Scope, receive: Receive, send: Send) -> None:
+    """Answer on an address that serves metrics alone."""
+    body = f"Nothing but {METRICS_PATH} is served here.\n".encode()
+    length = [(b"content-length", str(len(body)).encode())]
+    await send_whole(send, 404, length, body)
+
+
 @define
 class MetricsApplication:
     """Answer for metrics and leave all else to the application of the role."""
