--- a/gentianworks/log.py
+++ b/gentianworks/log.py
@@ -147,11 +147,14 @@
             "Declare it there, or stop this agent; give each endpoint one agent.",
         ),
         CatalogueEntry(
-            "GW5101", "A call failed at a replica; it is sent again or refused."
+            "GW5101",
+            "A call failed at a replica; it is sent again or refused.",
+            "Look at the replica that the details name, if it fails often.",
         ),
         CatalogueEntry(
             "GW5107",
             "A call was refused or cut off; the details tell why and on what ground.",
+            "Follow its id through the logs, as docs/OPERATIONS.md shows.",
         ),
         CatalogueEntry("GW5108", "A call was served."),
         CatalogueEntry("GW5109", "A caller left before its answer had ended."),
