--- a/gentianworks/cli.py
+++ b/gentianworks/cli.py
@@ -6,6 +6,7 @@
 
 from gentianworks.commandline import (
     changes,
+    following,
     inspection,
     orders,
     preparation,
@@ -19,5 +20,14 @@
     no_args_is_help=True,
     help=f"Run and manage a fleet of routers.\n\n{EXIT_HELP}",
 )
-for part in (roles, changes, questions, orders, trail, preparation, inspection):
+for part in (
+    roles,
+    changes,
+    questions,
+    orders,
+    trail,
+    preparation,
+    inspection,
+    following,
+):
     app.add_typer(part.app)
--- a/properties/control_group.py
+++ b/properties/control_group.py
@@ -46,6 +46,7 @@
     list_items,
 )
 
+BEGIN = 1000.0  # seconds
 MAX_DELAY = 0.03  # seconds
 MAX_LONG_DELAY = 3.0  # seconds
 MAX_SYNC_TIME = 0.02  # seconds
@@ -78,12 +79,16 @@
 
 @define
 class Group:
-    """Run a control group in virtual time and check what its clients see."""
+    """Run a control group in virtual time and check what its clients see.
+
+    With `seeds`, each host is told of the first hosts only and finds the others.
+    """
 
     size: int
     seed: int
     loss: float = 0.0
-    now: float = 1000.0
+    now: float = BEGIN
+    seeds: int = 0
     random: random.Random = field(init=False)
     hosts: list[Host] = field(factory=list)
     cuts: set[tuple[str, str]] = field(factory=set)
@@ -236,7 +241,9 @@
         node = Node(name, Role.CONTROL, "region", "zone", addresses[number], "")
         return State(
             node=node,
-            control_addresses=addresses,
+            control_addresses=addresses[: self.seeds or self.size],
+            finds_control=self.seeds > 0,
+            is_first_start=not self.seeds or self.now == BEGIN,
             checks_invariants=True,
             control=ControlState(replicated=ItemList()),
         )
