--- a/gentianworks/core/gateway/admission.py
+++ b/gentianworks/core/gateway/admission.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import random
+
 from attrs import frozen
 
 from gentianworks.core.gateway.replicas import Replica
@@ -14,7 +16,9 @@
 
 DURATION_WEIGHT = 0.05  # of each new duration in the running mean; some 20 calls
 FIRST_DURATION = 0.1  # seconds; assumed until a call of the service has ended
-MIN_RETRY_AFTER = 0.1  # seconds
+MIN_RETRY_AFTER = 0.1  # seconds; a shorter wait costs more than it gains
+RANK_DELAY = 0.25  # of the wait, for each rank; returns of two ranks overlap little
+RETURN_SPREAD = 0.25  # of the wait; callers refused at once don't come at once
 
 
 @frozen
@@ -51,4 +55,10 @@
     first_byte = estimate.wait + (0.0 if exchange.route.is_stream else estimate.run)
     if first_byte <= left:
         return 0.0
-    return max(MIN_RETRY_AFTER, first_byte - left)
+    return spread_return(exchange, max(MIN_RETRY_AFTER, first_byte - left))
+
+
+def spread_return(exchange: GatewayExchange, seconds: float) -> float:
+    """Return when a caller is to come back, so that the urgent come first."""
+    part = random.Random(exchange.call.request_id).random()
+    return seconds * (1 + RANK_DELAY * exchange.rank + RETURN_SPREAD * part)
