Keep the product's election timeouts, and give the platform its own

Cause: shorter heartbeats everywhere cost the leader of a fleet processor time that its bound of 1.6% of a core, held at 1.3%, does not leave. Change: the timing of a group is data of its own; the platform's control hosts, which are set aside, use the short one.

--- a/gentianworks/core/replication/elections.py
+++ b/gentianworks/core/replication/elections.py
@@ -31,8 +31,6 @@
     write,
 )
 from gentianworks.core.replication.replication import (
-    ELECTION_TIMEOUT_MIN,
-    LEASE,
     ControlRole,
     Replication,
 )
@@ -50,7 +48,7 @@
     log = replication.log
     if log.find_term(replication.commit_index) != replication.vote.term:
         return False
-    return now - replication.choose_contact() < LEASE
+    return now - replication.choose_contact() < replication.timing.lease
 
 
 def step_down(state: State, now: float) -> list[Effect]:
@@ -231,7 +229,7 @@
 
 def _is_bound(replication: Replication, now: float) -> bool:
     if replication.is_leader:
-        return now - replication.choose_contact() < ELECTION_TIMEOUT_MIN
+        return now - replication.choose_contact() < replication.timing.election_min
     return replication.has_heard_leader(now)
 
 
--- a/gentianworks/core/replication/formation.py
+++ b/gentianworks/core/replication/formation.py
@@ -19,7 +19,6 @@
 )
 from gentianworks.core.replication.peers import get_replication
 from gentianworks.core.replication.replication import (
-    ELECTION_TIMEOUT_MAX,
     ControlRole,
     Replication,
 )
@@ -104,7 +103,8 @@
         return False
     is_voter = replication.host in replication.membership.list_voters()
     may_be_removed = not is_voter or state.finds_control
-    return may_be_removed and now - replication.heard_at > ELECTION_TIMEOUT_MAX
+    silence = now - replication.heard_at
+    return may_be_removed and silence > replication.timing.election_max
 
 
 def _may_found(state: State) -> bool:
--- a/gentianworks/core/replication/replication.py
+++ b/gentianworks/core/replication/replication.py
@@ -19,11 +19,8 @@
     Membership,
     choose_quorum_value,
 )
+from gentianworks.core.replication.timing import Timing
 
-HEARTBEAT_INTERVAL = 0.15  # seconds; three may be lost within the lease
-ELECTION_TIMEOUT_MIN = 0.5  # seconds; bounds how long a group is without a leader
-ELECTION_TIMEOUT_MAX = 1.0  # seconds; twice the least, so that candidates rarely tie
-LEASE = 0.45  # seconds; ends before any host may vote for another leader
 SNAPSHOT_INTERVAL = 512  # entries
 KEPT_ENTRIES = 128
 
@@ -105,6 +102,7 @@
     seed: int
     vote: Vote = field(factory=Vote)
     log: Log = field(factory=Log)
+    timing: Timing = field(factory=Timing)
     membership: Membership = field(factory=Membership)
     role: ControlRole = ControlRole.FOLLOWER
     leader: HostId = ""
@@ -162,7 +160,7 @@
         """Return the next election timeout, in seconds."""
         self._draws += 1
         source = random.Random(f"{self.seed}/{self._draws}")
-        return source.uniform(ELECTION_TIMEOUT_MIN, ELECTION_TIMEOUT_MAX)
+        return source.uniform(self.timing.election_min, self.timing.election_max)
 
     def hear_leader(self, now: float) -> None:
         """Put off the next election because the leader has been heard."""
@@ -176,7 +174,7 @@
 
     def has_heard_leader(self, now: float) -> bool:
         """Tell whether a leader still counts on this host not to vote."""
-        return now - self.heard_at < ELECTION_TIMEOUT_MIN
+        return now - self.heard_at < self.timing.election_min
 
     def choose_contact(self) -> float:
         """Return since when a quorum is known to have followed this leader."""
--- a/gentianworks/core/replication/rounds.py
+++ b/gentianworks/core/replication/rounds.py
@@ -19,7 +19,6 @@
 from gentianworks.core.replication.peers import get_replication, receive, send_to
 from gentianworks.core.replication.reading import finish_reads, resolve_reads
 from gentianworks.core.replication.replication import (
-    HEARTBEAT_INTERVAL,
     ReadRound,
     Replication,
 )
@@ -36,7 +35,8 @@
     replication.round += 1
     replication.rounds[replication.round] = now
     replication.rounds.pop(replication.round - KEPT_ROUNDS, None)
-    replication.heartbeat_at = find_tick(now, HEARTBEAT_INTERVAL, state.incarnation)
+    interval = replication.timing.heartbeat
+    replication.heartbeat_at = find_tick(now, interval, state.incarnation)
     return send_heartbeats(state) + confirm_rounds(state, now)
 
 
--- a/gentianworks/core/replication/timers.py
+++ b/gentianworks/core/replication/timers.py
@@ -26,7 +26,6 @@
 from gentianworks.core.replication.proposals import expire_proposals, submit_proposals
 from gentianworks.core.replication.reading import expire_reads
 from gentianworks.core.replication.replication import (
-    ELECTION_TIMEOUT_MAX,
     Replication,
 )
 from gentianworks.core.replication.rounds import request_reads, start_round
@@ -42,6 +41,7 @@
 @reduce.register
 def _(event: JournalLoaded, state: State, now: float) -> list[Effect]:
     replication = _restore(event.contents, event.seed)
+    replication.timing = state.timing
     replication.hear_leader(now)
     state.control.replication = replication
     if event.contents.snapshot is not None:
@@ -113,7 +113,7 @@
 
 def _lead(state: State, now: float) -> list[Effect]:
     replication = get_replication(state)
-    if now - replication.choose_contact() > ELECTION_TIMEOUT_MAX:
+    if now - replication.choose_contact() > replication.timing.election_max:
         details = (("term", str(replication.vote.term)),)
         return [LogEvent("GW2005", details), *step_down(state, now)]
     effects = change_members(state, now)
--- a/gentianworks/core/state.py
+++ b/gentianworks/core/state.py
@@ -15,6 +15,7 @@
 from gentianworks.core.quarantine.crashes import HeldCrash
 from gentianworks.core.quarantine.suspects import KnownSuspects
 from gentianworks.core.replication.control import ControlState
+from gentianworks.core.replication.timing import Timing
 from gentianworks.core.routing.exchanges import RouterState
 from gentianworks.core.types import Configuration, Node
 
@@ -43,6 +44,7 @@
     platform_address: str = ""
     drain_time: float = 0.0
     store_rate: float = DEFAULT_STORE_RATE
+    timing: Timing = field(factory=Timing)
     finds_control: bool = False
     is_first_start: bool = True
     tolerated_losses: int = 1
--- a/gentianworks/platform/runner.py
+++ b/gentianworks/platform/runner.py
@@ -17,6 +17,7 @@
 from gentianworks.core.events.gateway import RoutesDecoded
 from gentianworks.core.events.lifecycle import ShutdownRequested, Started
 from gentianworks.core.gateway.state import GatewayState
+from gentianworks.core.replication.timing import Timing
 from gentianworks.core.state import State
 from gentianworks.core.types import Node, Role
 from gentianworks.log import configure_log
@@ -48,6 +49,9 @@
 
 # The platform gives its processes no secret; its network is theirs alone.
 PEER_KEY = b"gentianworks"
+# A group of hosts that are set aside can spend more on heartbeats than any node of a
+# fleet may, and clients feel each second without a leader after a loss of power.
+TIMING = Timing(heartbeat=0.15, election_min=0.5, election_max=1.0, lease=0.45)
 INCARNATION_BITS = 48
 # Open connections may fall silent without a reset; the rules allow for 3 s of it.
 PEER_LIFETIME = 2.0  # seconds
@@ -109,6 +113,7 @@
             settings.build_peer_address(Role.CONTROL.value, ip) for ip in settings.seeds
         ),
         drain_time=DRAIN_TIME if is_router else 0.0,
+        timing=TIMING,
         finds_control=True,
         is_first_start=settings.is_first_start,
         tolerated_losses=settings.tolerated_losses,
--- a/gentianworks/tests/test_replication.py
+++ b/gentianworks/tests/test_replication.py
@@ -25,7 +25,6 @@
 from gentianworks.core.replication.peers import get_replication
 from gentianworks.core.replication.proposals import confirm_read
 from gentianworks.core.replication.replication import (
-    ELECTION_TIMEOUT_MAX,
     ControlRole,
     PendingProposal,
     Replication,
@@ -35,6 +34,7 @@
     TICK_INTERVAL,
     find_next_tick,
 )
+from gentianworks.core.replication.timing import ELECTION_TIMEOUT_MAX
 from gentianworks.core.state import State
 from gentianworks.core.types import Problem, ProblemKind
 from gentianworks.tests.control_groups import (
