Let an answer outlast the time for its request's body

Cause: the time limit for reading a body stood around the whole exchange too, so that a stream that began early and lasted over 10 s was cut. Ruled out by the test that failed first: the deadline of the call, which was later. Change: the limit bounds reading alone; what callers' and clients' front ends share stands once, in web/exchanges.py.

--- a/gentianworks/platform/front.py
+++ b/gentianworks/platform/front.py
@@ -7,7 +7,7 @@
 
 import anyio
 from attrs import define, field
-from expression import Result
+from expression import Error, Ok, Result
 
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.callers import (
@@ -28,7 +28,6 @@
 from gentianworks.core.gateway.tables import CallerLimits
 from gentianworks.core.operators.reports import RoutesReport
 from gentianworks.core.types import Header, Problem, ProblemKind
-from gentianworks.outbox import Outbox
 from gentianworks.platform.calls import decode_call, encode_problem
 from gentianworks.platform.configuration import (
     DocumentError,
@@ -40,12 +39,11 @@
 from gentianworks.web.answers import (
     CLOSE,
     AnswerWriter,
-    CallerGoneError,
     encode_headers,
-    join_waiting,
 )
 from gentianworks.web.asking import ask
 from gentianworks.web.callers import decode_headers, encode_target
+from gentianworks.web.exchanges import CallerExchange
 from gentianworks.web.server import (
     BodyFault,
     Receive,
@@ -53,7 +51,6 @@
     Send,
     read_body,
     send_whole,
-    wait_for_disconnect,
 )
 
 WRITE_TIMEOUT = 10.0  # seconds; a client that reads nothing for so long has gone
@@ -73,17 +70,24 @@
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request."""
+        match await self._read(receive):
+            case Result(tag="ok", ok=body):
+                await self._exchange(scope, body, receive, send)
+            case Result(error=problem) if problem is not None:
+                await _send_problem(problem, send, closes=True)
+
+    async def _read(self, receive: Receive) -> Result[bytes, Problem | None]:
+        """Return the body of a request, or the problem to tell, if any."""
         limits = self._find_limits()
         with anyio.move_on_after(BODY_TIMEOUT):
             match await read_body(receive, limits.body_bytes):
                 case Result(tag="ok", ok=body):
-                    pass
+                    return Ok(body)
                 case Result(error=BodyFault.TOO_LARGE):
-                    await _send_problem(_describe_large(limits), send, closes=True)
-                    return
+                    return Error(_describe_large(limits))
                 case _:
-                    return
-            await self._exchange(scope, body, receive, send)
+                    return Error(None)
+        return Error(_describe_slow())
 
     def _find_limits(self) -> CallerLimits:
         gateway = self.process.state.gateway
@@ -96,35 +100,11 @@
         headers = decode_headers(scope)
         call = decode_call(scope["method"], encode_target(scope), headers, body)
         exchange = self.process.state.create_id()
-        outbox = self.process.outboxes[exchange] = Outbox()
+        events = CallerExchange(
+            exchange, CallArrived(exchange, call), CallLeft(exchange)
+        )
         writer = AnswerWriter(send, self.process, WRITE_TIMEOUT)
-        try:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._watch, exchange, receive, tasks.cancel_scope)
-                self.process.handle(CallArrived(exchange, call))
-                await self._write(exchange, outbox, writer)
-                tasks.cancel_scope.cancel()
-        except Exception:
-            self.process.handle(CallLeft(exchange))
-            raise
-        finally:
-            del self.process.outboxes[exchange]
-
-    async def _write(self, exchange: str, outbox: Outbox, writer: AnswerWriter) -> None:
-        is_open = True
-        try:
-            while is_open:
-                part = join_waiting(await outbox.take(), outbox)
-                is_open = await write_part(part, writer)
-        except CallerGoneError:
-            self.process.handle(CallLeft(exchange))
-
-    async def _watch(
-        self, exchange: str, receive: Receive, scope: anyio.CancelScope
-    ) -> None:
-        await wait_for_disconnect(receive)
-        self.process.handle(CallLeft(exchange))
-        scope.cancel()
+        await events.run(writer, write_part, self.process, receive)
 
 
 @singledispatch
@@ -175,6 +155,13 @@
     await send_whole(send, answer.status, encode_headers(headers), answer.body)
 
 
+def _describe_slow() -> Problem:
+    return Problem(
+        ProblemKind.BAD_REQUEST,
+        f"The body was not whole within {BODY_TIMEOUT:g} s; send it faster.",
+    )
+
+
 def _describe_large(limits: CallerLimits) -> Problem:
     return Problem(
         ProblemKind.BODY_TOO_LARGE,
--- a/gentianworks/web/callers.py
+++ b/gentianworks/web/callers.py
@@ -13,15 +13,13 @@
 from gentianworks.core.events.callers import CallerLeft, RequestArrived
 from gentianworks.core.types import Header, Problem, ProblemKind, Request
 from gentianworks.limits import LimitSettings
-from gentianworks.outbox import Outbox
 from gentianworks.process import Process
 from gentianworks.web.answers import (
     AnswerWriter,
-    CallerGoneError,
-    join_waiting,
     send_problem,
     write_part,
 )
+from gentianworks.web.exchanges import CallerExchange
 from gentianworks.web.server import (
     BodyFault,
     Receive,
@@ -29,7 +27,6 @@
     Send,
     read_body,
     send_whole,
-    wait_for_disconnect,
 )
 
 RETRY_AFTER = 1.0  # seconds
@@ -142,35 +139,11 @@
 
     async def _exchange(self, request: Request, receive: Receive, send: Send) -> None:
         exchange = self.process.state.create_id()
-        outbox = self.process.outboxes[exchange] = Outbox()
         writer = AnswerWriter(send, self.process, self.limits.write_timeout)
-        try:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._watch, exchange, receive, tasks.cancel_scope)
-                self.process.handle(RequestArrived(exchange, request))
-                await self._write(exchange, outbox, writer)
-                tasks.cancel_scope.cancel()
-        except Exception:
-            self.process.handle(CallerLeft(exchange))
-            raise
-        finally:
-            del self.process.outboxes[exchange]
-
-    async def _write(self, exchange: str, outbox: Outbox, writer: AnswerWriter) -> None:
-        is_open = True
-        try:
-            while is_open:
-                part = join_waiting(await outbox.take(), outbox)
-                is_open = await write_part(part, writer)
-        except CallerGoneError:
-            self.process.handle(CallerLeft(exchange))
-
-    async def _watch(
-        self, exchange: str, receive: Receive, scope: anyio.CancelScope
-    ) -> None:
-        await wait_for_disconnect(receive)
-        self.process.handle(CallerLeft(exchange))
-        scope.cancel()
+        events = CallerExchange(
+            exchange, RequestArrived(exchange, request), CallerLeft(exchange)
+        )
+        await events.run(writer, write_part, self.process, receive)
 
 
 def _describe_full() -> Problem:
