Let no foreign, repeated or endless bytes of a replica pass as an answer

Cause, shown by tests over real sockets: a stream that had begun went on with whatever the second replica answered (a signed 404, a JSON body, an unnumbered event, a stream cut inside an event), and ended as complete; an error that had begun was "resumed"; a success marked as not executed was believed and the call sent to a second replica; a call took the answer to an earlier one with its id on a kept connection; a length with chunks was relayed. At agents httpcore gave surplus bytes of an engine to the next call. By reading: the work for an event that never ends grew with its square, one read of tiny chunks held the loop for as long as it took, interim and foreign answers had no limit.

Ruled out: a refusal repeated on its own connection. The connection of a refusal was and is closed at once (TestRepeatedAnswers).

New: GW5117, GW5118, the status in GW5108.

The head that tests of the gateway use now says that it is an event stream, as it stands for one.

--- a/gentianworks/codecs/server_events.py
+++ b/gentianworks/codecs/server_events.py
@@ -8,13 +8,18 @@
 from attrs import frozen
 
 EVENT_STREAM = "text/event-stream"
-MAX_EVENT_BYTES = 1024 * 1024
+MAX_EVENT_BYTES = 256 * 1024  # some thousand times an event of several tokens
 UNNUMBERED = -1
 
 _EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+_MAX_END_BYTES = 4  # of _EVENT_END
 _ID_LINE = re.compile(rb"^id: ?(\d{1,18})\r?$", re.MULTILINE)
 
 
+class EventTooLongError(Exception):
+    """Raised for an event that does not end within MAX_EVENT_BYTES."""
+
+
 @frozen
 class EventBlock:
     """One or more complete events, or a piece of a body that has no events."""
@@ -38,12 +43,17 @@
     """Incremental parser that splits an event stream at the ends of its events."""
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._buffer = bytearray()
+        self._searched = 0  # bytes of the buffer in which no event ends
 
     def feed(self, data: bytes) -> list[EventBlock]:
-        """Return the events that `data` completes, in as few blocks as possible."""
+        """Return the events that `data` completes, in as few blocks as possible.
+
+        Raises EventTooLongError, after which the stream can't be read further.
+        """
+        self._buffer += data
         blocks: list[EventBlock] = []
-        for event in self._split(self._buffer + data):
+        for event in self._split():
             merged = blocks[-1].merge(event) if blocks else None
             if merged is None:
                 blocks.append(event)
@@ -51,20 +61,24 @@
                 blocks[-1] = merged
         return blocks
 
-    def _split(self, data: bytes) -> Iterator[EventBlock]:
+    def _split(self) -> Iterator[EventBlock]:
+        # Bytes that were searched before are skipped, since an event may arrive byte
+        # by byte.
+        begin = max(0, self._searched - _MAX_END_BYTES + 1)
         start = 0
-        for end in _EVENT_END.finditer(data):
-            yield _parse_event(data[start : end.end()])
-            start = end.end()
-        self._buffer = data[start:]
-        if len(self._buffer) > MAX_EVENT_BYTES:
-            yield EventBlock(self._buffer)
-            self._buffer = b""
+        for end in _EVENT_END.finditer(bytes(self._buffer[begin:])):
+            yield _parse_event(bytes(self._buffer[start : begin + end.end()]))
+            start = begin + end.end()
+        del self._buffer[:start]
+        self._searched = len(self._buffer)
+        if self._searched > MAX_EVENT_BYTES:
+            raise EventTooLongError(
+                f"an event does not end within {MAX_EVENT_BYTES} bytes"
+            )
 
-    def finish(self) -> list[EventBlock]:
-        """Return the remaining bytes at the end of the stream."""
-        remaining, self._buffer = self._buffer, b""
-        return [EventBlock(remaining)] if remaining else []
+    def has_incomplete_event(self) -> bool:
+        """Return whether the stream stops in the middle of an event."""
+        return bool(self._buffer)
 
 
 class PassthroughSplitter:
@@ -74,9 +88,9 @@
         """Return `data` as one unnumbered block."""
         return [EventBlock(data)]
 
-    def finish(self) -> list[EventBlock]:
-        """Return an empty list; no bytes are buffered."""
-        return []
+    def has_incomplete_event(self) -> bool:
+        """Return False; the bytes have no events."""
+        return False
 
 
 def _parse_event(event: bytes) -> EventBlock:
--- a/gentianworks/core/agents/attempts.py
+++ b/gentianworks/core/agents/attempts.py
@@ -50,6 +50,7 @@
     resume_after: int = -1
     # Status of the head sent to the router; 0 before that.
     status: int = 0
+    content_type: str = ""  # of the answer, without parameters
     piece_count: int = 0
     # Number of the last event received, and how many numbered events were received.
     last_event: int = -1
--- a/gentianworks/core/agents/engine_answers.py
+++ b/gentianworks/core/agents/engine_answers.py
@@ -30,7 +30,12 @@
 from gentianworks.core.quarantine.enforcement import report_engine_crash
 from gentianworks.core.reducer import reduce
 from gentianworks.core.state import State
-from gentianworks.core.types import Problem, ProblemKind, RunState
+from gentianworks.core.types import (
+    Problem,
+    ProblemKind,
+    RunState,
+    find_content_type,
+)
 
 RETRY_AFTER = 1.0  # seconds
 HTTP_OK = 200
@@ -66,9 +71,13 @@
     if buffer_head(event.attempt, event.status, event.headers, agent):
         return []
     if attempt.has_started:
-        is_same = event.status == attempt.status
+        is_same = (
+            event.status == attempt.status
+            and find_content_type(event.headers) == attempt.content_type
+        )
         return [] if is_same else _cut_stream(attempt, agent, state, now)
     attempt.status = event.status
+    attempt.content_type = find_content_type(event.headers)
     head = AnswerHead(
         sender=state.node.name,
         attempt=event.attempt,
--- a/gentianworks/core/events/gateway.py
+++ b/gentianworks/core/events/gateway.py
@@ -53,7 +53,8 @@
 
     `is_not_run` is set if the replica reports that it has not run the call, and
     `is_other_replica` if another replica than the intended one uses the address.
-    `running` and `waiting` are the replica's load, -1 if it reports none.
+    `running` and `waiting` are the replica's load, -1 if it reports none. `defect`
+    describes why the answer contradicts itself, if it does.
     """
 
     status: int
@@ -64,6 +65,9 @@
     running: int = -1
     waiting: int = -1
     slots: int = 0
+    content_type: str = ""  # without parameters
+    is_event_stream: bool = False
+    defect: str = ""
 
 
 @frozen
@@ -95,6 +99,15 @@
     attempt: AttemptId
 
 
+@frozen
+class ReplicaAnswerSkipped(Event):
+    """Occurs when a response to another request was received and skipped."""
+
+    attempt: AttemptId
+    request_id: str  # of the response
+    status: int
+
+
 @frozen
 class AnswerStartOverdue(Event):
     """Occurs when the start of the response to an attempt is overdue."""
--- a/gentianworks/core/gateway/attempts.py
+++ b/gentianworks/core/gateway/attempts.py
@@ -11,6 +11,7 @@
     ReplicaAnswerEnded,
     ReplicaAnswerHead,
     ReplicaAnswerPiece,
+    ReplicaAnswerSkipped,
     ReplicaAnswerStarted,
     ReplicaCallFailed,
     ReplicaFailure,
@@ -46,6 +47,9 @@
     exchange.has_received_head = True
     _record_health(exchange, answer, gateway, now)
     _record_load(exchange, answer, gateway, now)
+    if answer.defect:
+        drop = CancelReplicaCall(exchange.attempt)
+        return [drop, *_fail_defective_attempt(exchange, answer.defect, state, now)]
     if answer.is_other_replica:
         gateway.registry.mark_misaddressed(exchange.replica.name)
     if answer.is_not_run:
@@ -64,7 +68,27 @@
             drop,
             *handle_failed_attempt(exchange, RunState.RAN, reason, state, now),
         ]
-    return _start_answer(exchange, answer, gateway, now)
+    return _start_answer(exchange, answer, gateway)
+
+
+def _fail_defective_attempt(
+    exchange: GatewayExchange, defect: str, state: State, now: float
+) -> list[Effect]:
+    """Fail an attempt whose replica sent what is no proper answer to it."""
+    gateway = state.gateway
+    assert gateway is not None
+    assert exchange.replica is not None
+    gateway.backoff.record_failure(exchange.replica.name, now)
+    details = (
+        ("request", exchange.call.request_id),
+        ("replica", exchange.replica.name),
+        ("address", exchange.replica.address),
+        ("cause", defect),
+    )
+    return [
+        LogEvent("GW5117", details),
+        *handle_failed_attempt(exchange, RunState.UNKNOWN, defect, state, now),
+    ]
 
 
 def _find_rejection_reason(
@@ -81,20 +105,34 @@
     is_failure = status >= MIN_FAILURE_STATUS
     if is_failure and (exchange.has_sent_head or _may_repeat(exchange, gateway)):
         return f"the replica failed with status {status}"
+    begun = exchange.relayed_head
+    if begun is not None and not _continues(begun, answer):
+        return (
+            f"a stream with status {begun.status} can't go on with an answer with "
+            f"status {status} and content type {answer.content_type!r}"
+        )
     return ""
 
 
+def _continues(begun: ReplicaAnswerHead, answer: ReplicaAnswerHead) -> bool:
+    """Return whether an answer is of the same kind as the one that the caller has."""
+    return (
+        answer.status == begun.status
+        and answer.is_event_stream
+        and answer.content_type == begun.content_type
+    )
+
+
 def _start_answer(
     exchange: GatewayExchange,
     answer: ReplicaAnswerHead,
     gateway: GatewayState,
-    now: float,
 ) -> list[Effect]:
     assert exchange.replica is not None
     gateway.backoff.record_contact(exchange.replica.name)
     if exchange.has_sent_head:
         return []
-    exchange.has_sent_head = True
+    exchange.relayed_head = answer
     name = exchange.replica.name
     return [StartAnswer(exchange.id, answer.status, answer.headers, name)]
 
@@ -157,20 +195,43 @@
     exchange = gateway.find_by_attempt(event.attempt) if gateway else None
     if exchange is None:
         return []
-    if event.first >= 0 and event.first <= exchange.last_event:
+    if event.first >= 0 and event.last <= exchange.last_event:
         return []
-    if event.first > exchange.last_event + 1 and exchange.last_event >= 0:
-        detail = f"event {event.first} arrived after event {exchange.last_event}"
+    gap = _describe_gap(event, exchange)
+    if gap:
         drop = CancelReplicaCall(exchange.attempt)
-        return [
-            drop,
-            *handle_failed_attempt(exchange, RunState.RAN, detail, state, now),
-        ]
+        return [drop, *_fail_defective_attempt(exchange, gap, state, now)]
+    exchange.awaits_next_event = False
     if event.last >= 0:
         exchange.last_event = event.last
     return [RelayPiece(exchange.id, event.data)]
 
 
+def _describe_gap(event: ReplicaAnswerPiece, exchange: GatewayExchange) -> str:
+    """Return why a piece does not follow what the caller has, or an empty string."""
+    last = exchange.last_event
+    if event.first < 0:
+        return "an event without a number came first" * exchange.awaits_next_event
+    is_next = event.first == last + 1 or (last < 0 and not exchange.awaits_next_event)
+    return "" if is_next else f"event {event.first} arrived after event {last}"
+
+
+@reduce.register
+def _(event: ReplicaAnswerSkipped, state: State, now: float) -> list[Effect]:
+    gateway = state.gateway
+    exchange = gateway.find_by_attempt(event.attempt) if gateway else None
+    if exchange is None or exchange.replica is None:
+        return []
+    details = (
+        ("request", exchange.call.request_id),
+        ("replica", exchange.replica.name),
+        ("address", exchange.replica.address),
+        ("answered", event.request_id),
+        ("status", str(event.status)),
+    )
+    return [LogEvent("GW5118", details)]
+
+
 @reduce.register
 def _(event: ReplicaAnswerEnded, state: State, now: float) -> list[Effect]:
     gateway = state.gateway
@@ -189,6 +250,8 @@
     exchange = gateway.find_by_attempt(event.attempt) if gateway else None
     if gateway is None or exchange is None:
         return []
+    if event.failure is ReplicaFailure.MALFORMED:
+        return _fail_defective_attempt(exchange, event.detail, state, now)
     is_unsent = event.failure is ReplicaFailure.NOT_SENT
     run_state = RunState.NOT_RUN if is_unsent else RunState.UNKNOWN
     if exchange.replica is not None:
@@ -243,6 +306,8 @@
     is_unsent: bool,
     gateway: GatewayState,
 ) -> bool:
+    if exchange.has_sent_head and not exchange.can_resume():
+        return False
     if is_unsent:
         return (
             len(exchange.tried_replicas)
@@ -250,11 +315,6 @@
         )
     if run_state is not RunState.NOT_RUN:
         return _may_repeat(exchange, gateway) and _spend_retry(exchange, gateway)
-    if (
-        exchange.has_sent_head
-        and exchange.route.retry_policy is RetryPolicy.AT_MOST_ONCE
-    ):
-        return False
     has_attempts = exchange.attempt_count < exchange.route.max_attempts
     return has_attempts and _spend_retry(exchange, gateway)
 
@@ -267,7 +327,7 @@
         or exchange.attempt_count >= route.max_attempts
     ):
         return False
-    if exchange.has_sent_head and route.retry_policy is not RetryPolicy.RESUMABLE:
+    if exchange.has_sent_head and not exchange.can_resume():
         return False
     return gateway.get_retry_budget(exchange.service).retries >= 1
 
--- a/gentianworks/core/gateway/log_details.py
+++ b/gentianworks/core/gateway/log_details.py
@@ -13,7 +13,7 @@
     """Return the log details of a call, with the age of the data behind its routing."""
     replica = exchange.replica
     table = gateway.table
-    details = (
+    details: LogDetails = (
         ("request", exchange.call.request_id),
         ("route", exchange.route.name),
         ("workspace", exchange.workspace),
@@ -25,6 +25,9 @@
         ("table", str(table.revision if table else 0)),
         ("list_age", f"{now - gateway.registry.current_at:.1f}"),
     )
+    head = exchange.relayed_head
+    if head is not None:
+        details = (*details, ("status", str(head.status)))
     if replica is None:
         return details
     load = gateway.registry.get_load(replica.name)
--- a/gentianworks/core/gateway/state.py
+++ b/gentianworks/core/gateway/state.py
@@ -4,11 +4,12 @@
 
 from attrs import define, field
 
+from gentianworks.core.events.gateway import ReplicaAnswerHead
 from gentianworks.core.gateway.calls import Call
 from gentianworks.core.gateway.health import HealthTable
 from gentianworks.core.gateway.list_fetches import ListFetches
 from gentianworks.core.gateway.replicas import Replica, ReplicaName, ReplicaRegistry
-from gentianworks.core.gateway.route_table import Route, RouteTable
+from gentianworks.core.gateway.route_table import RetryPolicy, Route, RouteTable
 from gentianworks.core.gateway.startup_queue import QueuedCall
 from gentianworks.core.routing.backoff import EndpointBackoff
 from gentianworks.core.routing.retry import RetryBudget
@@ -16,6 +17,7 @@
 
 DEFAULT_RETRY_RATIO = 0.2  # of a service's calls; the usual setting of operators
 DEFAULT_RETRY_SLACK = 60.0  # retries of the whole fleet in a window
+MIN_ERROR_STATUS = 400
 DEFAULT_ROUTER_COUNT = 16  # assumed until the control hosts report the number
 
 
@@ -37,10 +39,29 @@
     has_received_head: bool = False  # the current attempt has begun to answer
     attempt_count: int = 0
     tried_replicas: set[ReplicaName] = field(factory=set)
-    has_sent_head: bool = False  # the caller has the head of its answer
+    # Head of the answer that the caller has begun to receive.
+    relayed_head: ReplicaAnswerHead | None = None
+    # The current attempt goes on with an answer that another one began, and has sent
+    # no numbered event yet.
+    awaits_next_event: bool = False
     last_event: int = -1  # number of the last event that the caller has
     run_state: RunState = RunState.NOT_RUN  # combined over the ended attempts
 
+    @property
+    def has_sent_head(self) -> bool:
+        """Return whether the caller has the head of its answer."""
+        return self.relayed_head is not None
+
+    def can_resume(self) -> bool:
+        """Return whether another replica can go on with the answer that has begun."""
+        head = self.relayed_head
+        return (
+            head is not None
+            and head.status < MIN_ERROR_STATUS
+            and head.is_event_stream
+            and self.route.retry_policy is RetryPolicy.RESUMABLE
+        )
+
 
 @define
 class GatewayState:
--- a/gentianworks/core/routing/answers.py
+++ b/gentianworks/core/routing/answers.py
@@ -33,7 +33,12 @@
 )
 from gentianworks.core.routing.streams import PieceVerdict
 from gentianworks.core.state import State
-from gentianworks.core.types import Problem, ProblemKind, RunState
+from gentianworks.core.types import (
+    Problem,
+    ProblemKind,
+    RunState,
+    find_content_type,
+)
 
 
 @reduce.register
@@ -49,7 +54,7 @@
     if not exchange.has_started:
         exchange.head = event
         return configuration_requests
-    if exchange.head is not None and event.status != exchange.head.status:
+    if exchange.head is not None and not _continues(exchange.head, event):
         return [
             *configuration_requests,
             *_fail_attempt(exchange, RunState.RAN, state, now),
@@ -57,6 +62,13 @@
     return configuration_requests
 
 
+def _continues(begun: AnswerHead, head: AnswerHead) -> bool:
+    """Return whether an answer is of the same kind as the one that has begun."""
+    return head.status == begun.status and find_content_type(
+        head.headers
+    ) == find_content_type(begun.headers)
+
+
 @reduce.register
 def _(event: AnswerPiece, state: State, now: float) -> list[Effect]:
     exchange = state.router.find_by_attempt(event.attempt)
--- a/gentianworks/core/types.py
+++ b/gentianworks/core/types.py
@@ -41,6 +41,12 @@
     value: str
 
 
+def find_content_type(headers: tuple[Header, ...]) -> str:
+    """Return the media type of a body without its parameters, or an empty string."""
+    values = [item.value for item in headers if item.name == "content-type"]
+    return values[0].partition(";")[0].strip().lower() if values else ""
+
+
 @frozen
 class Node:
     """Process of the system and the addresses at which others reach it."""
--- a/gentianworks/log.py
+++ b/gentianworks/log.py
@@ -164,7 +164,7 @@
             "A call was rejected or aborted; the details give the cause.",
             "Trace its id through the logs as described in docs/OPERATIONS.md.",
         ),
-        CatalogueEntry("GW5108", "A call was served."),
+        CatalogueEntry("GW5108", "A replica's answer was relayed to its end."),
         CatalogueEntry(
             "GW5109", "A caller disconnected before its response was complete."
         ),
@@ -177,6 +177,16 @@
         CatalogueEntry("GW5112", "A call is waiting for the first route table."),
         CatalogueEntry("GW5102", "The list of replicas has a new or changed entry."),
         CatalogueEntry("GW5103", "A replica was removed from the list."),
+        CatalogueEntry(
+            "GW5117",
+            "A replica sent bytes that are no proper answer to its call.",
+            "Check the replica that the details name; it is used last for a while.",
+        ),
+        CatalogueEntry(
+            "GW5118",
+            "A replica answered a call that was not waiting on the connection.",
+            "Check the replica that the details name if it occurs often.",
+        ),
         CatalogueEntry("GW5113", "A leader's list of replicas has taken effect."),
         CatalogueEntry(
             "GW5114",
--- a/gentianworks/outbox.py
+++ b/gentianworks/outbox.py
@@ -11,6 +11,7 @@
 from gentianworks.core.effects.base import Effect
 
 MAX_QUEUED_PARTS = 32
+MAX_QUEUED_BYTES = 512 * 1024
 MAX_COALESCED_BYTES = 64 * 1024
 
 P = TypeVar("P", bound=Effect)
@@ -24,17 +25,26 @@
 
     def __init__(self) -> None:
         self._parts: deque[Effect] = deque()
+        self._queued_bytes = 0
         self._changed: anyio.Event | None = None
 
     def put(self, part: Effect) -> None:
         """Append a part without waiting."""
         self._parts.append(part)
+        self._queued_bytes += _count_bytes(part)
         self._notify()
 
     def count_queued(self) -> int:
         """Return the number of queued parts."""
         return len(self._parts)
 
+    def is_full(self) -> bool:
+        """Return whether a reader from upstream must wait."""
+        return (
+            len(self._parts) >= MAX_QUEUED_PARTS
+            or self._queued_bytes >= MAX_QUEUED_BYTES
+        )
+
     async def get(self) -> Effect:
         """Remove and return the next part, waiting until there is one."""
         while not self._parts:
@@ -47,12 +57,13 @@
             yield self._pop()
 
     async def wait_for_room(self) -> None:
-        """Wait until fewer than MAX_QUEUED_PARTS parts are queued."""
-        while self.count_queued() >= MAX_QUEUED_PARTS:
+        """Wait until few parts and bytes are queued."""
+        while self.is_full():
             await self._wait()
 
     def _pop(self) -> Any:
         part = self._parts.popleft()
+        self._queued_bytes -= _count_bytes(part)
         self._notify()
         return part
 
@@ -65,3 +76,7 @@
         if self._changed is not None:
             self._changed.set()
             self._changed = None
+
+
+def _count_bytes(part: Effect) -> int:
+    return len(getattr(part, "data", b""))
--- a/gentianworks/platform/replicas.py
+++ b/gentianworks/platform/replicas.py
@@ -10,6 +10,7 @@
     EVENT_STREAM,
     EventBlock,
     EventSplitter,
+    EventTooLongError,
     PassthroughSplitter,
 )
 from gentianworks.core.effects.gateway import CallReplica, CancelReplicaCall
@@ -17,13 +18,13 @@
     ReplicaAnswerEnded,
     ReplicaAnswerHead,
     ReplicaAnswerPiece,
+    ReplicaAnswerSkipped,
     ReplicaAnswerStarted,
     ReplicaCallFailed,
     ReplicaFailure,
 )
 from gentianworks.core.gateway.route_table import RetryPolicy
 from gentianworks.core.types import AttemptId, Header
-from gentianworks.outbox import MAX_QUEUED_PARTS
 from gentianworks.platform import header_names
 from gentianworks.process import Process, perform
 from gentianworks.web.connections import (
@@ -35,6 +36,7 @@
 
 LEAST_URGENT_PRIORITY = 9
 STATUS_OTHER_REPLICA = 421
+MIN_REFUSAL_STATUS = 400
 REPLICA_FAILURES = {
     ConnectionFailure.NOT_SENT: ReplicaFailure.NOT_SENT,
     ConnectionFailure.CUT: ReplicaFailure.CUT,
@@ -59,7 +61,10 @@
             for name, value in headers
         )
         values = {item.name: item.value for item in decoded}
-        if values.get(header_names.REQUEST_ID) != self.effect.call.request_id:
+        request_id = values.get(header_names.REQUEST_ID, "")
+        if request_id != self.effect.call.request_id:
+            skipped = ReplicaAnswerSkipped(self.effect.attempt, request_id, status)
+            self.process.handle(skipped)
             return False
         if values.get("content-type", "").startswith(EVENT_STREAM):
             self.splitter = EventSplitter()
@@ -69,15 +74,23 @@
 
     def receive_data(self, data: bytes) -> None:
         """Report the complete pieces; pause reading if too many wait for the client."""
-        self._report(self.splitter.feed(data))
+        try:
+            self._report(self.splitter.feed(data))
+        except EventTooLongError as error:
+            self.connection.abort()
+            self.receive_failure(ConnectionFailure.MALFORMED, str(error))
+            return
         outbox = self.process.outboxes.get(self.effect.exchange)
-        if outbox is not None and outbox.count_queued() >= MAX_QUEUED_PARTS:
+        if outbox is not None and outbox.is_full():
             self._pause_until_drained()
 
     def receive_end(self) -> None:
         """Report that the response is complete."""
+        if self.splitter.has_incomplete_event():
+            detail = "the stream ended in the middle of an event"
+            self.receive_failure(ConnectionFailure.CUT, detail)
+            return
         self.client.remove(self.effect.attempt)
-        self._report(self.splitter.finish())
         self.process.handle(ReplicaAnswerEnded(self.effect.attempt))
 
     def receive_failure(self, failure: ConnectionFailure, detail: str) -> None:
@@ -118,7 +131,9 @@
         """Send a call on an idle connection, or connect first."""
         now = asyncio.get_running_loop().time()
         is_careful = effect.retry_policy is RetryPolicy.AT_MOST_ONCE
-        connection = self.pool.borrow(effect.replica.address, now, is_careful)
+        connection = self.pool.borrow(
+            effect.replica.address, now, is_careful, effect.call.request_id
+        )
         if connection is not None:
             self._send(effect, connection, process)
             return
@@ -146,7 +161,9 @@
     ) -> None:
         self._connections[effect.attempt] = connection
         reader = AnswerReader(effect, process, connection, self)
-        connection.send(encode_head(effect), effect.call.body, reader)
+        connection.send(
+            encode_head(effect), effect.call.body, reader, effect.call.request_id
+        )
 
     def cancel(self, attempt: AttemptId, process: Process) -> None:
         """Close the connection of an attempt, on which its replica stops the work."""
@@ -165,6 +182,10 @@
 ) -> ReplicaAnswerHead:
     """Return the decoded head of a response."""
     is_other = status == STATUS_OTHER_REPLICA
+    is_refusal = header_names.NOT_EXECUTED in values
+    defect = ""
+    if is_refusal and status < MIN_REFUSAL_STATUS:
+        defect = f"the answer with status {status} claims that the call was not run"
     running, waiting, slots = _read_load(values.get(header_names.INSTANCE_LOAD, ""))
     kept = tuple(item for item in headers if item.name not in header_names.HOP_HEADERS)
     length = tuple(item for item in headers if item.name == "content-length")
@@ -172,11 +193,14 @@
         status=status,
         headers=(*kept, *length),
         is_signed=header_names.RESPONSE_SIGNATURE in values,
-        is_not_run=is_other or header_names.NOT_EXECUTED in values,
+        is_not_run=is_other or (is_refusal and not defect),
         is_other_replica=is_other,
         running=running,
         waiting=waiting,
         slots=slots,
+        content_type=values.get("content-type", "").partition(";")[0].strip().lower(),
+        is_event_stream=values.get("content-type", "").startswith(EVENT_STREAM),
+        defect=defect,
     )
 
 
--- a/gentianworks/tests/test_platform_applications.py
+++ b/gentianworks/tests/test_platform_applications.py
@@ -12,6 +12,7 @@
 
 from gentianworks.core.effects.gateway import CallReplica
 from gentianworks.core.events.gateway import (
+    CallExpired,
     ReplicaAnswerEnded,
     ReplicaAnswerHead,
     ReplicaAnswerPiece,
@@ -22,7 +23,7 @@
 from gentianworks.platform.applications import ClientApplication, ReadinessApplication
 from gentianworks.platform.replicas import ReplicaClient
 from gentianworks.process import Process
-from gentianworks.tests.gateways import KEY, build_gateway
+from gentianworks.tests.gateways import EVENT_STREAM_HEAD, KEY, build_gateway
 
 SCOPE: dict[str, Any] = {
     "type": "http",
@@ -105,6 +106,23 @@
         assert b"".join(part.get("body", b"") for part in client.received) == b"piece"
         assert not client.received[-1].get("more_body", False)
 
+    @pytest.mark.anyio
+    async def test_a_stream_that_breaks_off_gets_no_problem_event(self) -> None:
+        client = Client()
+        async with anyio.create_task_group() as tasks:
+            process, replicas = build_process(tasks)
+            serve = ClientApplication(process)
+            tasks.start_soon(serve, SCOPE, client.receive, cast(Any, client.send))
+            await anyio.sleep(0.05)
+            (call,) = replicas.calls
+            process.handle(ReplicaAnswerStarted(call.attempt, EVENT_STREAM_HEAD))
+            process.handle(ReplicaAnswerPiece(call.attempt, b"piece", 1, 1))
+            process.handle(CallExpired(call.exchange))
+            await anyio.sleep(0.05)
+            tasks.cancel_scope.cancel()
+        assert b"".join(part.get("body", b"") for part in client.received) == b"piece"
+        assert client.received[-1]["more_body"]
+
     @pytest.mark.anyio
     async def test_a_client_that_disconnects_cancels_the_call(self) -> None:
         client = Client()
--- a/gentianworks/web/engines.py
+++ b/gentianworks/web/engines.py
@@ -9,6 +9,7 @@
     EVENT_STREAM,
     EventBlock,
     EventSplitter,
+    EventTooLongError,
     PassthroughSplitter,
 )
 from gentianworks.codecs.usage import AnswerTail
@@ -33,12 +34,17 @@
 AGENT_HEADERS = frozenset({"x-priority", "x-request-id", "x-chat", "last-event-id"})
 
 
+class IncompleteStreamError(Exception):
+    """Raised for a stream that stops in the middle of an event."""
+
+
 @define
 class EngineClient:
     """HTTP client that runs attempts at the engine and reports answers as events."""
 
     address: str  # IP:PORT
-    pools: Pools = field(factory=Pools)
+    # httpcore passes surplus bytes of an answer to the next request on the connection.
+    pools: Pools = field(factory=lambda: Pools(keeps_connections=False))
 
     async def run(self, effect: CallEngine, process: Process) -> None:
         """Run one attempt and report its answer until it ends or fails."""
@@ -51,7 +57,12 @@
             process.handle(
                 EngineCallFailed(attempt, CallFailure.TIMED_OUT, effect.call)
             )
-        except (httpcore.NetworkError, httpcore.ProtocolError):
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            EventTooLongError,
+            IncompleteStreamError,
+        ):
             process.handle(EngineCallFailed(attempt, CallFailure.CUT, effect.call))
         else:
             process.handle(EngineAnswerEnded(attempt, effect.call, generated))
@@ -90,7 +101,8 @@
                 tail.feed(data)
                 _report(effect, splitter.feed(data), process)
                 await _wait_for_room(effect, process)
-            _report(effect, splitter.finish(), process)
+            if splitter.has_incomplete_event():
+                raise IncompleteStreamError
             return tail.count_generated_tokens()
 
     def _encode_headers(self, effect: CallEngine) -> list[tuple[bytes, bytes]]:
--- a/gentianworks/web/pools.py
+++ b/gentianworks/web/pools.py
@@ -15,11 +15,11 @@
 IDLE_TIMEOUT = 10.0  # seconds
 
 
-def create_pool() -> httpcore.AsyncConnectionPool:
-    """Return a new pool of connections."""
+def create_pool(keeps_connections: bool = True) -> httpcore.AsyncConnectionPool:
+    """Return a new pool of connections, which may close each after one request."""
     return httpcore.AsyncConnectionPool(
         max_connections=MAX_CONNECTIONS,
-        max_keepalive_connections=MAX_IDLE_CONNECTIONS,
+        max_keepalive_connections=MAX_IDLE_CONNECTIONS if keeps_connections else 0,
         keepalive_expiry=IDLE_TIMEOUT,
     )
 
@@ -31,7 +31,7 @@
 
 @define
 class _PoolEntry:
-    pool: httpcore.AsyncConnectionPool = field(factory=create_pool)
+    pool: httpcore.AsyncConnectionPool
     requests: int = 0
 
 
@@ -43,6 +43,7 @@
     each request would grow in proportion to the number of requests in flight.
     """
 
+    keeps_connections: bool = True
     _pools: dict[str, list[_PoolEntry]] = field(factory=dict)
 
     @asynccontextmanager
@@ -53,7 +54,7 @@
             (item for item in pools if item.requests < MAX_POOL_REQUESTS), None
         )
         if entry is None:
-            entry = _PoolEntry()
+            entry = _PoolEntry(create_pool(self.keeps_connections))
             pools.append(entry)
         entry.requests += 1
         try:
