Fetch the list each second at routers that have no leader

Cause: a router that had just fetched the list itself took it for one that a leader had confirmed, and waited another 2 s. The age of the list reached 2.97 s without a leader (test, 7 routers), where 1 s was meant.

Change: only a list from a leader counts as confirmed. Age in the same test at most 1.2 s.

--- a/gentianworks/core/gateway/discovery.py
+++ b/gentianworks/core/gateway/discovery.py
@@ -58,7 +58,8 @@
     """Fetch the list if no leader has confirmed it lately, or check again later."""
     fetches = gateway.list_fetches
     current_at = gateway.registry.current_at
-    if now - current_at < MAX_LIST_AGE:
+    is_from_leader = gateway.registry.version.number > 0
+    if is_from_leader and now - current_at < MAX_LIST_AGE:
         due_at = current_at + MAX_LIST_AGE + _compute_spread(gateway, state)
         return [SetTimer(due_at, ReplicaListDue()), *_leave_fallback(gateway)]
     fetches.begin(now)
--- a/gentianworks/tests/test_shared_list.py
+++ b/gentianworks/tests/test_shared_list.py
@@ -147,6 +147,16 @@
         assert not fleet.platform.throttled_count
         assert max(fleet.list_ages()) <= 1.2 * interval
 
+    def test_without_a_leader_a_small_fleet_fetches_each_second(self) -> None:
+        fleet = build_fleet(routers=7)
+        stop_majority(fleet)
+        fleet.run(5.0)
+        ages = []
+        for _ in range(100):
+            fleet.run(0.1)
+            ages.append(max(fleet.list_ages()))
+        assert max(ages) <= 1.2 * POLL_INTERVAL
+
     def test_routers_stop_fetching_once_a_leader_is_back(self) -> None:
         fleet = build_fleet()
         stop_majority(fleet)
