Let payments wait for agents that are not registered yet

Cause: a claim whose endpoint the ledger did not know yet counted that endpoint as tried. While no agent of the service was registered, which is so in the first moments of a fleet, the payment was refused at once (503, not run), though agents register each 0.25 s. Shown by a test of the simulation, failing before; the real fleet's failure itself was not caught again.

Ruled out: a router that says ready too soon. It can't know which agents the ledger has, and an agent may restart at any time.

Change: such endpoints are tried again after 0.25 s, for 2 s at most.

--- a/gentianworks/core/ledger/claim_stages.py
+++ b/gentianworks/core/ledger/claim_stages.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from attrs import define, frozen
+from attrs import define, field, frozen
 
 from gentianworks.core.ledger.types import Claim, KeyId
 from gentianworks.core.types import EndpointName, Problem
@@ -68,3 +68,6 @@
     send_count: int = 0  # messages sent; each retry goes to the next control host
     last_number: int = 0  # number of the latest attempt granted to the exchange
     last_problem: Problem | None = None
+    # Endpoints whose agents the ledger did not know yet, and when it first said so.
+    unregistered: set[EndpointName] = field(factory=set)
+    unregistered_since: float = float("inf")  # seconds
--- a/gentianworks/core/ledger/claim_transitions.py
+++ b/gentianworks/core/ledger/claim_transitions.py
@@ -41,6 +41,7 @@
 
 CLAIM_RETRY_INTERVAL = 0.25  # seconds
 VOID_DELAY = 1.0  # seconds
+REGISTRATION_WAIT = 2.0  # seconds; an agent that has started registers each 0.25 s
 
 
 @frozen
@@ -67,6 +68,8 @@
     """Claim an attempt at the next endpoint, or release the key if there is none."""
     exchange, progress = claimed.exchange, claimed.progress
     endpoint = find_endpoint(exchange, state, now)
+    if endpoint is None and _may_wait_for_registration(progress, now):
+        return _wait_for_registration(claimed, state, now)
     if endpoint is None or exchange.attempts >= MAX_ATTEMPTS:
         problem = progress.last_problem or describe_no_endpoint(
             exchange.request.service
@@ -76,6 +79,26 @@
     return enter_stage(Claiming(endpoint.name), claimed, state, now)
 
 
+def _may_wait_for_registration(progress: ClaimProgress, now: float) -> bool:
+    waited = now - progress.unregistered_since
+    return bool(progress.unregistered) and waited < REGISTRATION_WAIT
+
+
+def _wait_for_registration(
+    claimed: ClaimedExchange, state: State, now: float
+) -> list[Effect]:
+    """Try the endpoints again whose agents were not registered, after a pause."""
+    exchange, progress = claimed.exchange, claimed.progress
+    exchange.tried_endpoints -= progress.unregistered
+    progress.unregistered.clear()
+    endpoint = find_endpoint(exchange, state, now)
+    if endpoint is None:
+        return claim_next_endpoint(claimed, state, now)
+    progress.stage = Claiming(endpoint.name)
+    progress.round += 1
+    return [build_retry_timer(claimed, now)]
+
+
 def enter_stage(
     stage: ClaimStage, claimed: ClaimedExchange, state: State, now: float
 ) -> list[Effect]:
--- a/gentianworks/core/ledger/claims.py
+++ b/gentianworks/core/ledger/claims.py
@@ -112,7 +112,10 @@
 def _skip_endpoint(claimed: ClaimedExchange, state: State, now: float) -> list[Effect]:
     if not isinstance(claimed.progress.stage, Claiming):
         return []
-    claimed.exchange.tried_endpoints.add(claimed.progress.stage.endpoint)
+    progress, endpoint = claimed.progress, claimed.progress.stage.endpoint
+    progress.unregistered.add(endpoint)
+    progress.unregistered_since = min(progress.unregistered_since, now)
+    claimed.exchange.tried_endpoints.add(endpoint)
     return claim_next_endpoint(claimed, state, now)
 
 
--- a/gentianworks/tests/test_claims.py
+++ b/gentianworks/tests/test_claims.py
@@ -2,10 +2,16 @@
 
 from __future__ import annotations
 
+from gentianworks.core.events.ledger import IncarnationStarted
 from gentianworks.core.quarantine.fingerprints import compute_fingerprint
 from gentianworks.core.quarantine.suspects import Suspect
 from gentianworks.core.types import Problem, ProblemKind, RunState
-from properties.ledger_simulation import AGENTS, CONTROL_HOST, LedgerSimulation
+from properties.ledger_simulation import (
+    AGENTS,
+    CONTROL_HOST,
+    START_TIME,
+    LedgerSimulation,
+)
 from properties.ledger_types import Envelope
 
 KEY = "fee-1"
@@ -20,6 +26,30 @@
     world.deliver_all()
 
 
+def build_unregistered_agents() -> LedgerSimulation:
+    """Return a simulation whose agents have sent their registrations just now."""
+    world = LedgerSimulation()
+    for name in (CONTROL_HOST, *AGENTS):
+        world.start(name)
+    return world
+
+
+def deliver_claims(world: LedgerSimulation) -> None:
+    """Deliver what routers and the ledger send each other, but no registration."""
+    while True:
+        messages = [
+            *list_envelopes(world, "router-1"),
+            *(
+                item
+                for item in list_envelopes(world, CONTROL_HOST)
+                if not isinstance(item.event, IncarnationStarted)
+            ),
+        ]
+        if not messages:
+            return
+        world.deliver(messages[0])
+
+
 def get_problem(world: LedgerSimulation, exchange: str) -> Problem:
     """Return the problem that a caller received."""
     problem = world.callers[exchange].problem
@@ -52,6 +82,31 @@
         assert world.run_counts[KEY] == 1
         assert world.callers[first].body == world.callers[second].body
 
+    def test_a_request_waits_for_agents_that_are_not_registered_yet(self) -> None:
+        world = build_unregistered_agents()
+        exchange = world.send_request("router-1", KEY)
+        for _ in range(3):
+            deliver_claims(world)
+        assert not world.callers[exchange].is_finished
+        world.deliver_all()
+        world.advance(0.3)
+        world.deliver_all()
+        run_engines(world)
+        assert world.callers[exchange].body == f"receipt of {KEY}".encode()
+        assert world.run_counts[KEY] == 1
+
+    def test_agents_that_never_register_are_reported_within_seconds(self) -> None:
+        world = build_unregistered_agents()
+        exchange = world.send_request("router-1", KEY)
+        for _ in range(12):
+            deliver_claims(world)
+            world.advance(0.25)
+            deliver_claims(world)
+        problem = get_problem(world, exchange)
+        assert problem.kind is ProblemKind.NO_ENDPOINT
+        assert problem.run_state is RunState.NOT_RUN
+        assert world.now - START_TIME <= 3.0
+
     def test_a_dispatch_for_an_earlier_incarnation_is_not_run(self) -> None:
         world = LedgerSimulation()
         exchange = world.send_request("router-1", KEY)
