Keep failed fetches of the list within the fleet's share of the rate

Cause: after a failure a router tried again after 0.3 to 1 s, and after a throttled request after at most 8 s, however many routers share the permitted rate. Without a leader, 1,700 routers before a platform that fails would have sent over a thousand requests a second. By reading; test added, failing before.

Change: where the rate stretches the interval, a failure waits that interval.

--- a/gentianworks/core/gateway/list_fetches.py
+++ b/gentianworks/core/gateway/list_fetches.py
@@ -17,7 +17,7 @@
 LEADER_RATE_SHARE = 0.25  # of the permitted rate
 ROUTERS_RATE_SHARE = 0.5  # of the permitted rate, for all routers together
 INTERVAL_JITTER = 0.2  # of an interval; spreads the fetches of the routers
-MAX_FETCH_TIME = 5.0  # seconds; then a fetch without an outcome is repeated
+MAX_FETCH_TIME = 5.0  # seconds for which a fetch in progress keeps out the next one
 
 
 @define
@@ -57,11 +57,16 @@
         return max(self.interval, requests / (share * self.permitted_rate))
 
     def compute_retry_delay(self, is_throttled: bool, interval: float) -> float:
-        """Return the time until the next fetch after a failed one."""
+        """Return the time until the next fetch after a failed one.
+
+        It is no shorter than an interval that the permitted rate has stretched.
+        """
         doublings = min(10, max(0, self.failure_count - 1))
         if is_throttled:
-            return min(MAX_THROTTLED_INTERVAL, interval * 2.0 ** (doublings + 1))
-        return min(MAX_RETRY_INTERVAL, RETRY_INTERVAL * 2.0**doublings)
+            delay = min(MAX_THROTTLED_INTERVAL, interval * 2.0 ** (doublings + 1))
+        else:
+            delay = min(MAX_RETRY_INTERVAL, RETRY_INTERVAL * 2.0**doublings)
+        return max(delay, interval) if interval > self.interval else delay
 
     def is_due(self, now: float) -> bool:
         """Return whether the next fetch is due and none is in progress."""
--- a/gentianworks/tests/test_shared_list.py
+++ b/gentianworks/tests/test_shared_list.py
@@ -318,6 +318,18 @@
         assert delays[1] > 1.5 * delays[0]
         assert delays[-1] <= MAX_THROTTLED_INTERVAL + POLL_INTERVAL
 
+    @pytest.mark.parametrize("is_throttled", [True, False])
+    def test_failures_of_a_large_fleet_keep_to_its_share_of_the_rate(
+        self, is_throttled: bool
+    ) -> None:
+        fetches = ListFetches(1.0, permitted_rate=40.0)
+        fetches.record_success(page_count=108)
+        interval = fetches.compute_interval(router_count=1700)
+        for _ in range(12):
+            fetches.record_failure()
+            delay = fetches.compute_retry_delay(is_throttled, interval)
+            assert delay >= interval
+
     def test_a_leader_stretches_its_interval_to_its_share_of_the_rate(self) -> None:
         fetches = ListFetches(1.0, permitted_rate=40.0)
         fetches.record_success(page_count=108)
