Test answers that come before a long body was read

A replica that answers early reads the rest of the body and then the next call's, on one connection; a second answer to the same call ends the connection. Both held before.

--- a/gentianworks/tests/faulty_replicas.py
+++ b/gentianworks/tests/faulty_replicas.py
@@ -38,6 +38,7 @@
 
 ENDS = (FinishAnswer, AbortAnswer, RefuseRequest)
 REQUEST_END = b"\r\n\r\n"
+EARLY_PAUSE = 0.2  # seconds in which the next request is sent
 TEST_TIMEOUT = 6.0  # seconds
 
 # Writes the bytes of one answer; the argument is the id of the request.
@@ -117,9 +118,11 @@
     """Server that answers its requests by scripts, one after the other."""
 
     scripts: list[Script]
+    answers_early: bool = False  # before it reads the body of a request
     address: str = ""
     connection_count: int = 0
-    requests: list[bytes] = field(factory=list)
+    requests: list[bytes] = field(factory=list)  # heads
+    bodies: list[bytes] = field(factory=list)
     closed: asyncio.Event = field(factory=asyncio.Event)
 
     async def handle(
@@ -131,8 +134,12 @@
             while True:
                 head = await reader.readuntil(REQUEST_END)
                 self.requests.append(head)
-                await reader.readexactly(_read_length(head))
-                await self.scripts.pop(0)(writer, _read_id(head))
+                if self.answers_early:
+                    await self.scripts.pop(0)(writer, _read_id(head))
+                    await asyncio.sleep(EARLY_PAUSE)
+                self.bodies.append(await reader.readexactly(_read_length(head)))
+                if not self.answers_early:
+                    await self.scripts.pop(0)(writer, _read_id(head))
         except (OSError, asyncio.IncompleteReadError, IndexError):
             pass
         finally:
--- a/gentianworks/tests/test_faulty_replicas.py
+++ b/gentianworks/tests/test_faulty_replicas.py
@@ -16,6 +16,7 @@
 )
 from gentianworks.core.types import RunState
 from gentianworks.tests.faulty_replicas import (
+    EARLY_PAUSE,
     FaultyReplica,
     Script,
     build_answer,
@@ -206,12 +207,24 @@
 
     @pytest.mark.anyio
     async def test_an_answer_before_the_body_was_read_is_used_once(self) -> None:
-        replica = FaultyReplica([send(OWN), send(OWN)])
-        body = b"x" * 300_000
+        replica = FaultyReplica([send(OWN)] * 2, answers_early=True)
+        sent = [b"1" * 3_000_000, b"2" * 3_000_000]
         async with run_router(replica, service="books") as router:
-            for request_id in ("r1", "r2"):
+            for request_id, body in zip(("r1", "r2"), sent, strict=True):
                 parts = await router.call(request_id, body=body, **PAY)
                 assert join_body(parts) == b"own answer"
+            await anyio.sleep(2 * EARLY_PAUSE)
+        assert replica.bodies == sent
+        assert replica.connection_count == 1
+
+    @pytest.mark.anyio
+    async def test_a_second_answer_to_the_same_call_reaches_nobody(self) -> None:
+        replica = FaultyReplica([send(OWN + OWN), send(OWN)], answers_early=True)
+        async with run_router(replica, service="books") as router:
+            for request_id in ("r1", "r2"):
+                parts = await router.call(request_id, body=b"x" * 9000, **PAY)
+                assert join_body(parts) == b"own answer"
+        assert replica.connection_count == 2
 
 
 ENDLESS = {
