Let the log tell which control host holds data and who granted a vote

GW2006 said "has data" of every host that may not form a group, also of one with an empty disk; it now tells the end of its log. GW2007 adds the voters, which of them granted this host their vote, how many it needs, and the end of its own log. GW2015, new, tells what a data folder contained when its host started. No decision changes.

The formation's answer carries the end of the log; hosts of the build before send none, which is read as an empty log.

--- a/gentianworks/core/events/replication.py
+++ b/gentianworks/core/events/replication.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from attrs import frozen
+from attrs import field, frozen
 
 from gentianworks.core.commands.base import Command
 from gentianworks.core.events.base import Event, Message
@@ -81,7 +81,10 @@
 
 @frozen
 class FormationResponse(Message):
-    """Response to the formation request of `asker`."""
+    """Response to the formation request of `asker`.
+
+    `is_empty` is true of a host that may form a group; `log_end` is the end of its log.
+    """
 
     asker: HostId
     host: HostId
@@ -89,6 +92,7 @@
     addresses: tuple[str, ...]
     is_empty: bool
     leader_address: str = ""
+    log_end: Position = field(factory=Position)
 
 
 @frozen
--- a/gentianworks/core/replication/formation.py
+++ b/gentianworks/core/replication/formation.py
@@ -81,6 +81,7 @@
         addresses=state.control_addresses,
         is_empty=_may_form_group(state),
         leader_address=replication.leader_address,
+        log_end=replication.log.last,
     )
     return [SendMessage(event.peer_address, response)]
 
--- a/gentianworks/core/replication/timers.py
+++ b/gentianworks/core/replication/timers.py
@@ -37,7 +37,10 @@
     resend_snapshot_chunks,
     save_due_snapshot,
 )
-from gentianworks.core.replication.warnings import warn_of_missing_leader
+from gentianworks.core.replication.warnings import (
+    describe_stored_log,
+    warn_of_missing_leader,
+)
 from gentianworks.core.state import State
 from gentianworks.core.ticks import MAX_EARLINESS, compute_next_tick
 
@@ -57,6 +60,7 @@
     replication.update_membership(state.control.replicated.membership)
     check_invariants(state)
     return [
+        LogEvent("GW2015", describe_stored_log(replication)),
         SetTimer(now, ReplicationCheckDue()),
         *reduce(ReplicatedStateRestored(), state, now),
     ]
--- a/gentianworks/core/replication/warnings.py
+++ b/gentianworks/core/replication/warnings.py
@@ -4,6 +4,8 @@
 
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.lifecycle import LogEvent
+from gentianworks.core.replication.log import Position
+from gentianworks.core.replication.members import Membership
 from gentianworks.core.replication.peer_messages import get_replication
 from gentianworks.core.replication.replication import Replication
 from gentianworks.core.state import State
@@ -22,10 +24,43 @@
     replication.warned_at = now
     if replication.is_formed:
         silence = f"{now - replication.leader_contact_at:.0f} s"
-        return [LogEvent("GW2007", (("silent_for", silence),))]
+        details = (("silent_for", silence), *_describe_ballots(replication))
+        return [LogEvent("GW2007", details)]
     return [LogEvent("GW2006", (("waits_for", _describe_obstacles(state)),))]
 
 
+def describe_stored_log(replication: Replication) -> tuple[tuple[str, str], ...]:
+    """Return the details of a log event about what a host's data folder contained."""
+    last = replication.log.last
+    return (
+        ("host", replication.host),
+        ("term", str(last.term)),
+        ("index", str(last.index)),
+        ("voters", _describe_voters(replication.membership)),
+    )
+
+
+def _describe_ballots(replication: Replication) -> tuple[tuple[str, str], ...]:
+    """Return which voters granted this host their vote, and how many it needs."""
+    membership = replication.membership
+    voters = membership.list_voters()
+    granted = [host for host in voters if host in replication.ballots]
+    return (
+        ("voters", _describe_voters(membership)),
+        ("granted", " ".join(granted)),
+        ("needed", str(len(voters) // 2 + 1)),
+        ("index", str(replication.log.last.index)),
+    )
+
+
+def _describe_voters(membership: Membership) -> str:
+    return " ".join(
+        f"{item.host}@{item.peer_address}"
+        for item in membership.members
+        if not item.is_learner
+    )
+
+
 def _describe_obstacles(state: State) -> str:
     if not state.control_addresses:
         return "peer_addresses of [control], which list no host"
@@ -40,10 +75,18 @@
 
 def _describe_obstacle(address: str, replication: Replication, state: State) -> str:
     if address == state.node.peer_address:
-        return "" if replication.is_empty else "has data"
+        return _describe_log(replication.is_empty, replication.log.last)
     response = replication.formation_responses.get(address)
     if response is None:
         return "has not answered"
     if sorted(response.addresses) != sorted(state.control_addresses):
         return "lists other peer_addresses"
-    return "" if response.is_empty else "has data"
+    return _describe_log(response.is_empty, response.log_end)
+
+
+def _describe_log(is_empty: bool, log_end: Position) -> str:
+    if is_empty:
+        return ""
+    if not log_end.index:
+        return "has no data, but this is not its first start"
+    return f"has data up to entry {log_end.index}"
--- a/gentianworks/log.py
+++ b/gentianworks/log.py
@@ -91,6 +91,7 @@
             "Free up space in the file system of the data folder.",
         ),
         CatalogueEntry("GW2014", "The disk has free space again."),
+        CatalogueEntry("GW2015", "The log of this control host has been loaded."),
         CatalogueEntry(
             "GW2011",
             "A snapshot from another control host could not be read.",
--- a/gentianworks/tests/test_replication_members.py
+++ b/gentianworks/tests/test_replication_members.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import copy
+
 from attrs import evolve
 
 from gentianworks.core.effects.lifecycle import LogEvent
+from gentianworks.core.events.replication import JournalLoaded
+from gentianworks.core.handlers import reduce
 from gentianworks.core.replication.formation import CAUGHT_UP_TIMEOUT, change_members
 from gentianworks.core.replication.leader import (
     advance_commit_index,
@@ -67,6 +71,49 @@
         assert isinstance(log, LogEvent)
         assert log.code == "GW2007"
 
+    def test_a_host_without_a_majority_logs_who_voted_for_it(self) -> None:
+        group = form_group()
+        survivor = group.hosts[0]
+        group.crash(1)
+        group.crash(2)
+        group.run(WARNING_INTERVAL)
+        survivor.replication.warned_at = float("-inf")
+        (log,) = warn_of_missing_leader(survivor.state, group.now)
+        assert isinstance(log, LogEvent)
+        details = dict(log.details)
+        assert details["granted"] == survivor.replication.host
+        assert details["needed"] == "2"
+        assert all(host.address in details["voters"] for host in group.hosts)
+
+    def test_a_host_that_lost_its_disk_is_not_said_to_have_data(self) -> None:
+        group = SimulatedGroup(3, 1, seed_host_count=3)
+        wait_for(group, group.has_full_membership)
+        for number in range(3):
+            group.crash(number)
+        group.wipe_disk(1)
+        group.wipe_disk(2)
+        group.start(0)
+        group.run(SILENCE_TIMEOUT + 1.0)
+        waiting = group.hosts[2]
+        waiting.replication.warned_at = float("-inf")
+        (log,) = warn_of_missing_leader(waiting.state, group.now)
+        assert isinstance(log, LogEvent)
+        obstacles = log.details[0][1]
+        holder, empty = group.hosts[0].address, group.hosts[1].address
+        assert f"{holder} (has data up to entry " in obstacles
+        assert f"{empty} (has no data" in obstacles
+
+    def test_a_host_logs_what_its_data_folder_contained(self) -> None:
+        group = form_group()
+        host = group.hosts[1]
+        contents = copy.deepcopy(host.disk.contents)
+        effects = reduce(JournalLoaded(contents, 1), host.state, group.now)
+        (log,) = [item for item in effects if isinstance(item, LogEvent)]
+        details = dict(log.details)
+        assert log.code == "GW2015"
+        assert int(details["index"]) > 0
+        assert all(item.address in details["voters"] for item in group.hosts)
+
 
 class TestMembers:
     def test_a_host_with_a_lost_disk_rejoins_as_a_new_member(self) -> None:
