Keep as many voters with a disk as the tolerated losses need

Cause: the deploy file runs one control host a zone, which makes three voters in three zones. The deployment promises to bear the loss of two disks. The survivor held the whole log, stood for election and had one vote of the two that it needed: no host is left that could give the other. `2 x tolerated losses + 1` was only the number above which silent voters are removed.

Ruled out: a survivor that does not stand or whose log is incomplete, and an empty host that is taken for a member.

A host without a disk keeps its log in a temporary folder and never votes, because it forgets its votes when it restarts. Learners get a vote until there are 2 x tolerated losses + 1 voters, or in place of a silent one; the others stand by. Seeds may have no disk: those with one form the group, or one other host that the first seed chooses; a leader asks seeds that are out of contact, which may all have forgotten the group. A leader whose group stays too small logs GW2016, and a metric tells voters and required ones.

It works because each majority of five voters has three members, and two lost disks leave three, of which one has every acknowledged entry and the others may elect it.

Tests that changed: the group of five in test_found_hosts tolerates two losses, since five hosts that tolerate one keep three voters now; a silent voter above the minimum is made by lowering the tolerated losses; `has_full_membership` asks for all hosts as members and for the exact number of voters. Joining hosts are members instead of names.

--- a/gentianworks/core/events/replication.py
+++ b/gentianworks/core/events/replication.py
@@ -71,12 +71,13 @@
 
 @frozen
 class FormationRequest(Message):
-    """Request to a control host in the settings to report whether it is in a group."""
+    """Request to a known control host to report whether it is in a group."""
 
     host: HostId
     peer_address: str
     addresses: tuple[str, ...]
     is_empty: bool
+    keeps_data: bool = True
 
 
 @frozen
@@ -84,6 +85,8 @@
     """Response to the formation request of `asker`.
 
     `is_empty` is true of a host that may form a group; `log_end` is the end of its log.
+    `founder_address` is the host that forms the group if none in the settings keeps its
+    data.
     """
 
     asker: HostId
@@ -93,6 +96,8 @@
     is_empty: bool
     leader_address: str = ""
     log_end: Position = field(factory=Position)
+    keeps_data: bool = True
+    founder_address: str = ""
 
 
 @frozen
--- a/gentianworks/core/replication/elections.py
+++ b/gentianworks/core/replication/elections.py
@@ -130,6 +130,7 @@
     replication.leader = replication.host
     replication.leader_address = state.node.peer_address
     replication.joining_hosts.clear()
+    replication.leading_since = now
     replication.handover_deadline = 0.0
     replication.handover_sent_at = 0.0
     reset_progress(replication, now)
--- a/gentianworks/core/replication/formation.py
+++ b/gentianworks/core/replication/formation.py
@@ -15,6 +15,7 @@
     ListedHostsPolicy,
     Membership,
     MembershipPolicy,
+    compute_required_voters,
     plan_change,
 )
 from gentianworks.core.replication.peer_messages import get_replication
@@ -28,6 +29,7 @@
 CAUGHT_UP_TIMEOUT = 1.0  # seconds
 VOTER_TIMEOUT = 1.5  # seconds; six heartbeats, as for an election
 LEARNER_TIMEOUT = 5.0  # seconds; a learner may be loading a snapshot
+MAX_DISCOVERED_ADDRESSES = 16  # hosts that have sent a formation request
 
 
 def probe_group(state: State, now: float) -> list[Effect]:
@@ -42,8 +44,10 @@
         peer_address=state.node.peer_address,
         addresses=state.control_addresses,
         is_empty=_may_form_group(state),
+        keeps_data=state.keeps_data,
     )
-    sends = [SendMessage(address, request) for address in _list_probe_addresses(state)]
+    addresses = _list_probe_addresses(state, now)
+    sends = [SendMessage(address, request) for address in addresses]
     return [*sends, *_form_group(state, now)]
 
 
@@ -56,7 +60,7 @@
         replication.membership,
         replication.host,
         _build_policy(state, now),
-        replication.joining_hosts,
+        replication.joining_hosts.values(),
         _list_caught_up(replication, now),
     )
     if planned is None:
@@ -72,7 +76,15 @@
     if replication is None:
         return []
     if replication.is_leader:
-        replication.joining_hosts[event.peer_address] = event.host
+        replication.joining_hosts[event.peer_address] = ControlMember(
+            event.host,
+            event.peer_address,
+            is_learner=True,
+            keeps_data=event.keeps_data,
+        )
+    if state.discovers_control_hosts:
+        _record_address(event.peer_address, replication)
+        _choose_founder(event, state)
     response = FormationResponse(
         sender=state.node.name,
         asker=event.host,
@@ -82,6 +94,8 @@
         is_empty=_may_form_group(state),
         leader_address=replication.leader_address,
         log_end=replication.log.last,
+        keeps_data=state.keeps_data,
+        founder_address=replication.founder_address,
     )
     return [SendMessage(event.peer_address, response)]
 
@@ -103,7 +117,7 @@
     if not replication.is_formed:
         return True
     if replication.is_leader:
-        return False
+        return bool(_list_absent_seeds(state, now))
     is_voter = replication.host in replication.membership.list_voters()
     may_be_removed = not is_voter or state.discovers_control_hosts
     silence = now - replication.leader_contact_at
@@ -122,25 +136,50 @@
     unresponsive = frozenset(
         peer.host
         for peer in replication.list_peers()
-        if now - replication.get_contact(peer.host) > _get_silence_timeout(peer)
+        if is_unresponsive(peer, replication, now)
     )
-    return DiscoveredHostsPolicy(unresponsive, 2 * state.tolerated_losses + 1)
+    return DiscoveredHostsPolicy(
+        unresponsive, compute_required_voters(state.tolerated_losses)
+    )
+
+
+def is_unresponsive(peer: ControlMember, replication: Replication, now: float) -> bool:
+    """Return whether this leader has had no contact with a peer for too long."""
+    timeout = LEARNER_TIMEOUT if peer.is_learner else VOTER_TIMEOUT
+    return now - replication.get_contact(peer.host) > timeout
+
+
+def _record_address(address: str, replication: Replication) -> None:
+    """Record that a control host runs at an address."""
+    replication.discovered_addresses.pop(address, None)
+    replication.discovered_addresses[address] = None
+    if len(replication.discovered_addresses) > MAX_DISCOVERED_ADDRESSES:
+        oldest = next(iter(replication.discovered_addresses))
+        del replication.discovered_addresses[oldest]
+
 
+def _choose_founder(event: FormationRequest, state: State) -> None:
+    """Let the first host with a disk that asks form the group alone.
 
-def _get_silence_timeout(peer: ControlMember) -> float:
-    return LEARNER_TIMEOUT if peer.is_learner else VOTER_TIMEOUT
+    Only the first host in the settings chooses, once, and only if none of the hosts in
+    the settings keeps its data.
+    """
+    replication = get_replication(state)
+    is_first = state.node.peer_address == min(state.control_addresses, default="")
+    is_candidate = event.is_empty and event.keeps_data
+    if replication.founder_address or not (is_first and is_candidate):
+        return
+    if _may_form_group(state) and _list_empty_seeds(state) == []:
+        replication.founder_address = event.peer_address
 
 
 def _form_group(state: State, now: float) -> list[Effect]:
-    if not _may_form_group(state) or not _is_unanimous(state):
-        return []
     replication = get_replication(state)
     own = ControlMember(replication.host, state.node.peer_address)
-    others = [
-        ControlMember(replication.formation_responses[address].host, address)
-        for address in _list_other_addresses(state)
-    ]
-    membership = Membership(replication.host, (own, *others))
+    founders = _list_founders(own, state)
+    if not _may_form_group(state) or own not in founders[:1]:
+        return []
+    membership = Membership(replication.host, founders)
     replication.vote = Vote(1, replication.host)
     replication.role = ControlRole.CANDIDATE
     replication.ballots = {item.host for item in membership.members}
@@ -148,17 +187,41 @@
     return append_command(command, state, now)
 
 
-def _is_unanimous(state: State) -> bool:
-    if state.node.peer_address != min(state.control_addresses, default=""):
-        return False
+def _list_founders(own: ControlMember, state: State) -> tuple[ControlMember, ...]:
+    """Return the first members of the group, that which forms it first."""
+    seeds = _list_empty_seeds(state)
+    if seeds is None:
+        return ()
+    if seeds:
+        return tuple(sorted(seeds, key=lambda item: item.peer_address))
     responses = get_replication(state).formation_responses
+    first_seed = min(state.control_addresses, default="")
+    chosen = responses[first_seed].founder_address if first_seed in responses else ""
+    return (own,) if state.keeps_data and chosen == own.peer_address else ()
+
+
+def _list_empty_seeds(state: State) -> list[ControlMember] | None:
+    """Return the hosts in the settings that keep their data.
+
+    Returns None unless all hosts in the settings have answered that they are empty and
+    have the same settings.
+    """
+    replication = get_replication(state)
+    responses = replication.formation_responses
     wanted = sorted(state.control_addresses)
-    return all(
-        address in responses
-        and responses[address].is_empty
-        and sorted(responses[address].addresses) == wanted
-        for address in _list_other_addresses(state)
-    )
+    seeds = []
+    for address in _list_other_addresses(state):
+        response = responses.get(address)
+        if response is None or not response.is_empty:
+            return None
+        if sorted(response.addresses) != wanted:
+            return None
+        if response.keeps_data:
+            seeds.append(ControlMember(response.host, address))
+    own = state.node.peer_address
+    if state.keeps_data and own in state.control_addresses:
+        seeds.append(ControlMember(replication.host, own))
+    return seeds
 
 
 def _list_other_addresses(state: State) -> list[str]:
@@ -166,11 +229,34 @@
     return [address for address in state.control_addresses if address != own]
 
 
-def _list_probe_addresses(state: State) -> list[str]:
+def _list_absent_seeds(state: State, now: float) -> list[str]:
+    """Return the hosts in the settings that are not in contact with this leader.
+
+    One that lost its data, along with all others in the settings, knows no member.
+    """
+    if not state.discovers_control_hosts:
+        return []
+    replication = get_replication(state)
+    present = {
+        peer.peer_address
+        for peer in replication.list_peers()
+        if not is_unresponsive(peer, replication, now)
+    }
+    return [item for item in _list_other_addresses(state) if item not in present]
+
+
+def _list_probe_addresses(state: State, now: float) -> list[str]:
     replication = get_replication(state)
+    if replication.is_leader:
+        return _list_absent_seeds(state, now)
     members = [item.peer_address for item in replication.membership.members]
     known = dict.fromkeys(
-        (*state.control_addresses, *members, replication.reported_leader_address)
+        (
+            *state.control_addresses,
+            *members,
+            *replication.discovered_addresses,
+            replication.reported_leader_address,
+        )
     )
     own = state.node.peer_address
     return [address for address in known if address and address != own]
--- a/gentianworks/core/replication/members.py
+++ b/gentianworks/core/replication/members.py
@@ -13,11 +13,15 @@
 
 @frozen
 class ControlMember:
-    """Control host, identified by its data folder; a learner has no vote."""
+    """Control host, identified by its data folder; a learner has no vote.
+
+    A host without a disk does not keep its data, and stays a learner.
+    """
 
     host: HostId
     peer_address: str
     is_learner: bool = False
+    keeps_data: bool = True
 
 
 @frozen
@@ -51,6 +55,11 @@
     return ordered[len(ordered) // 2]
 
 
+def compute_required_voters(tolerated_losses: int) -> int:
+    """Return the number of voters of which a majority survives the tolerated losses."""
+    return 2 * tolerated_losses + 1
+
+
 @frozen
 class ListedHostsPolicy:
     """Policy that admits only the hosts at the addresses in the settings."""
@@ -62,12 +71,13 @@
 class DiscoveredHostsPolicy:
     """Policy that admits every host that discovers the group.
 
-    A new voter replaces an unresponsive one. Unresponsive voters are also removed
-    without a replacement while there are more than `min_voters`.
+    A learner gets a vote while there are fewer than `voter_count` voters, or in place
+    of an unresponsive voter. Unresponsive voters beyond `voter_count` are removed
+    without a replacement.
     """
 
     unresponsive: frozenset[HostId]
-    min_voters: int
+    voter_count: int
 
 
 MembershipPolicy = ListedHostsPolicy | DiscoveredHostsPolicy
@@ -77,20 +87,23 @@
     current: Membership,
     leader: HostId,
     policy: MembershipPolicy,
-    joining: dict[str, HostId],
+    joining: Iterable[ControlMember],
     caught_up: Collection[HostId],
 ) -> Membership | None:
     """Return the membership after the next single change, or None.
 
-    `joining` maps the addresses of the hosts that request to join to their
-    identities; `caught_up` are the learners whose log is complete.
+    `joining` are the hosts that request to join, as learners; `caught_up` are the
+    members whose log is complete.
     """
-    for address, host in joining.items():
-        if admits(policy, address) and current.find(host) is None:
-            return _add_learner(current, ControlMember(host, address, True))
+    for learner in joining:
+        if admits(policy, learner.peer_address) and current.find(learner.host) is None:
+            return _add_learner(current, learner)
     for member in current.members:
-        if member.is_learner and member.host in caught_up:
-            return _promote_learner(current, member, leader, policy)
+        is_candidate = member.is_learner and member.keeps_data
+        if is_candidate and member.host in caught_up:
+            changed = _promote_learner(current, member, leader, policy)
+            if changed is not None:
+                return changed
     removed = choose_removed_member(policy, current, leader)
     return _remove_member(current, removed) if removed else None
 
@@ -113,6 +126,17 @@
     return True
 
 
+@singledispatch
+def has_voter_vacancy(policy: MembershipPolicy, current: Membership) -> bool:
+    """Return whether a further learner may get a vote."""
+    return True
+
+
+@has_voter_vacancy.register
+def _(policy: DiscoveredHostsPolicy, current: Membership) -> bool:
+    return len(current.list_voters()) < policy.voter_count
+
+
 @singledispatch
 def choose_replaced_voter(policy: MembershipPolicy, current: Membership) -> HostId:
     """Return the voter at another address that a new voter replaces, or ""."""
@@ -148,9 +172,9 @@
 
 @choose_removed_member.register
 def _(policy: DiscoveredHostsPolicy, current: Membership, leader: HostId) -> HostId:
-    has_room = len(current.list_voters()) > policy.min_voters
+    has_surplus = len(current.list_voters()) > policy.voter_count
     for member in current.members:
-        is_removable = member.is_learner or has_room
+        is_removable = member.is_learner or has_surplus
         if (
             member.host in policy.unresponsive
             and is_removable
@@ -174,7 +198,7 @@
     learner: ControlMember,
     leader: HostId,
     policy: MembershipPolicy,
-) -> Membership:
+) -> Membership | None:
     for member in current.members:
         is_replaced = member.peer_address == learner.peer_address
         if is_replaced and member.host not in {learner.host, leader}:
@@ -182,6 +206,8 @@
     replaced = choose_replaced_voter(policy, current)
     if replaced and replaced != leader:
         return _remove_member(current, replaced)
+    if not has_voter_vacancy(policy, current):
+        return None
     members = tuple(
         evolve(item, is_learner=False) if item.host == learner.host else item
         for item in current.members
--- a/gentianworks/core/replication/replication.py
+++ b/gentianworks/core/replication/replication.py
@@ -131,6 +131,7 @@
     next_heartbeat_at: float = 0.0
     next_probe_at: float = 0.0
     warned_at: float = float("-inf")
+    size_warned_at: float = float("-inf")
     write_sequence: int = 0
     synced_sequence: int = 0
     deferred_effects: deque[tuple[int, Effect]] = field(factory=deque)
@@ -147,7 +148,10 @@
     incoming_snapshot: IncomingSnapshot | None = None
     formation_responses: dict[str, FormationResponse] = field(factory=dict)
     reported_leader_address: str = ""
-    joining_hosts: dict[str, HostId] = field(factory=dict)
+    joining_hosts: dict[str, ControlMember] = field(factory=dict)  # by address
+    discovered_addresses: dict[str, None] = field(factory=dict)  # a set, oldest first
+    founder_address: str = ""
+    leading_since: float = 0.0
     handover_deadline: float = 0.0
     handover_sent_at: float = 0.0
     _draw_count: int = 0
--- a/gentianworks/core/replication/timers.py
+++ b/gentianworks/core/replication/timers.py
@@ -40,6 +40,7 @@
 from gentianworks.core.replication.warnings import (
     describe_stored_log,
     warn_of_missing_leader,
+    warn_of_small_group,
 )
 from gentianworks.core.state import State
 from gentianworks.core.ticks import MAX_EARLINESS, compute_next_tick
@@ -98,7 +99,8 @@
         effects += _run_leader(state, now)
     elif now >= replication.next_election_at and not state.is_leaving:
         effects += start_pre_vote(state, now)
-    effects += probe_group(state, now) + warn_of_missing_leader(state, now)
+    effects += probe_group(state, now)
+    effects += warn_of_missing_leader(state, now) + warn_of_small_group(state, now)
     effects += expire_proposals(state, now) + submit_proposals(state, now)
     effects += expire_reads(state, now)
     if any(now >= read.next_send_at for read in replication.pending_reads.values()):
--- a/gentianworks/core/replication/warnings.py
+++ b/gentianworks/core/replication/warnings.py
@@ -5,12 +5,16 @@
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.lifecycle import LogEvent
 from gentianworks.core.replication.log import Position
-from gentianworks.core.replication.members import Membership
+from gentianworks.core.replication.members import (
+    Membership,
+    compute_required_voters,
+)
 from gentianworks.core.replication.peer_messages import get_replication
 from gentianworks.core.replication.replication import Replication
 from gentianworks.core.state import State
 
 SILENCE_TIMEOUT = 5.0  # seconds
+GROWTH_TIME = 10.0  # seconds in which the other hosts can start and join
 WARNING_INTERVAL = 60.0  # seconds
 
 
@@ -29,6 +33,30 @@
     return [LogEvent("GW2006", (("waits_for", _describe_obstacles(state)),))]
 
 
+def warn_of_small_group(state: State, now: float) -> list[Effect]:
+    """Log at intervals that the group has too few voters for the losses to tolerate."""
+    replication = get_replication(state)
+    required = compute_required_voters(state.tolerated_losses)
+    voters = replication.membership.list_voters()
+    if not state.discovers_control_hosts or len(voters) >= required:
+        return []
+    if not replication.is_leader or now - replication.leading_since < GROWTH_TIME:
+        return []
+    if now - replication.size_warned_at < WARNING_INTERVAL:
+        return []
+    replication.size_warned_at = now
+    members = replication.membership.members
+    diskless = [item for item in members if not item.keeps_data]
+    details = (
+        ("voters", str(len(voters))),
+        ("required", str(required)),
+        ("tolerated_losses", str(state.tolerated_losses)),
+        ("borne_losses", str((len(voters) - 1) // 2)),
+        ("without_disk", str(len(diskless))),
+    )
+    return [LogEvent("GW2016", details)]
+
+
 def describe_stored_log(replication: Replication) -> tuple[tuple[str, str], ...]:
     """Return the details of a log event about what a host's data folder contained."""
     last = replication.log.last
--- a/gentianworks/core/state.py
+++ b/gentianworks/core/state.py
@@ -35,9 +35,11 @@
 
     With `discovers_control_hosts`, `control_addresses` contains only some of the
     control hosts, which report the others; a group is formed only at the first start,
-    and it keeps enough voters to tolerate `tolerated_losses`. `router_heartbeats` maps
-    the peer address of each router to the time of the last heartbeat that the leader
-    received. `pending_crashes` are the crash reports that await an acknowledgement.
+    and it keeps enough voters to tolerate `tolerated_losses`. A control host without
+    `keeps_data` loses its data at each restart, so it never votes. `router_heartbeats`
+    maps the peer address of each router to the time of the last heartbeat that the
+    leader received. `pending_crashes` are the crash reports that await an
+    acknowledgement.
     `shared_list` is set on control hosts that fetch the list of replicas for gateways.
     """
 
@@ -51,6 +53,7 @@
     discovers_control_hosts: bool = False
     is_first_start: bool = True
     tolerated_losses: int = 1
+    keeps_data: bool = True
     router_heartbeats: dict[str, float] = field(factory=dict)
     incarnation: int = 0
     last_id: int = 0
--- a/gentianworks/log.py
+++ b/gentianworks/log.py
@@ -92,6 +92,11 @@
         ),
         CatalogueEntry("GW2014", "The disk has free space again."),
         CatalogueEntry("GW2015", "The log of this control host has been loaded."),
+        CatalogueEntry(
+            "GW2016",
+            "The control group has too few voters for the losses it is to tolerate.",
+            "Run control on more hosts with a disk: twice those losses and one.",
+        ),
         CatalogueEntry(
             "GW2011",
             "A snapshot from another control host could not be read.",
--- a/gentianworks/metrics.py
+++ b/gentianworks/metrics.py
@@ -21,6 +21,7 @@
 from gentianworks.core.ledger.types import ClaimStatus
 from gentianworks.core.load.agent_bounds import compute_agent_bound
 from gentianworks.core.replication.elections import is_leading
+from gentianworks.core.replication.members import compute_required_voters
 from gentianworks.core.state import State
 from gentianworks.core.types import Role
 from gentianworks.labels import OTHER, LabelLimiter
@@ -97,6 +98,11 @@
             Gauge, "leading", "Whether this control host leads with a quorum."
         )
 
+        self.voters = self._add(
+            Gauge,
+            "control_voters",
+            "Voters of the control group, and those required by the tolerated losses.",
+        )
         self.list_age = self._add(
             Gauge, "replica_list_age_seconds", "Age of the list of replicas."
         )
@@ -143,6 +149,7 @@
         self._set_list_metrics(state, now)
         if state.node.role is Role.CONTROL:
             self._set_ledger_metrics(state.control.replicated.ledger)
+            self._set_voter_metrics(state)
         if state.agent is not None:
             load = state.agent.compute_load()
             self.load.set({"kind": "requests"}, load.requests)
@@ -171,6 +178,16 @@
         self.list_fetches.set({"outcome": "failure"}, fetches.failure_total)
         self.fetches_list.set({}, int(is_fetching))
 
+    def _set_voter_metrics(self, state: State) -> None:
+        replication = state.control.replication
+        if replication is None:
+            return
+        voters = replication.membership.list_voters()
+        self.voters.set({"state": "present"}, len(voters))
+        if state.discovers_control_hosts:
+            required = compute_required_voters(state.tolerated_losses)
+            self.voters.set({"state": "required"}, required)
+
     def _set_ledger_metrics(self, ledger: Ledger) -> None:
         counts = collections.Counter(
             record.status for record in ledger.records.values()
--- a/gentianworks/platform/runner.py
+++ b/gentianworks/platform/runner.py
@@ -8,6 +8,7 @@
 import secrets
 import signal
 import socket
+import tempfile
 import time
 from functools import partial
 from pathlib import Path
@@ -49,9 +50,11 @@
 from gentianworks.process import Process, perform
 from gentianworks.settings import LogSettings
 from gentianworks.storage.startup import open_store_or_exit, start_store
+from gentianworks.storage.store import OpenedStore
 from gentianworks.web.metrics import MetricsApplication, answer_not_found
 from gentianworks.web.server import Application, Server, create_server
 
+TEMPORARY_PREFIX = "gentianworks-control-"
 # The platform provides no secret; only its own processes can reach its network.
 PEER_KEY = b"gentianworks"
 # A group of dedicated hosts can send more heartbeats than the nodes of a fleet, and
@@ -85,7 +88,7 @@
     except PlatformSettingsError as error:
         logger.critical("GW1010", extra={"details": (("error", str(error)),)})
         raise SystemExit(1) from error
-    stored = open_store_or_exit(settings.data_folder) if role is Role.CONTROL else None
+    stored = _open_store(settings) if role is Role.CONTROL else None
     state = build_state(role, settings)
     peers = PeerSockets(
         state.node.peer_address, MessageCodec(PEER_KEY), PEER_CONNECTION_LIFETIME
@@ -128,6 +131,7 @@
         http_address=settings.client_address or settings.configuration_address,
     )
     is_router = role is Role.ROUTER
+    keeps_data = bool(settings.data_folder)
     return State(
         node=node,
         control_addresses=tuple(
@@ -138,11 +142,24 @@
         discovers_control_hosts=True,
         is_first_start=settings.is_first_start,
         tolerated_losses=settings.tolerated_losses,
+        keeps_data=keeps_data,
         gateway=_build_gateway(settings) if is_router else None,
-        shared_list=None if is_router else SharedList(fetches=_build_fetches(settings)),
+        # Only a host that may lead distributes the list.
+        shared_list=(
+            SharedList(fetches=_build_fetches(settings))
+            if not is_router and keeps_data
+            else None
+        ),
     )
 
 
+def _open_store(settings: MachineSettings) -> OpenedStore:
+    """Return the store of a control host, in a temporary folder if it has no disk."""
+    if settings.data_folder:
+        return open_store_or_exit(settings.data_folder)
+    return open_store_or_exit(tempfile.mkdtemp(prefix=TEMPORARY_PREFIX))
+
+
 def _build_fetches(settings: MachineSettings) -> ListFetches:
     return ListFetches(DISCOVERY_INTERVAL, settings.listing_rate)
 
--- a/gentianworks/platform/settings.py
+++ b/gentianworks/platform/settings.py
@@ -29,7 +29,7 @@
     internal_ports: tuple[int, int]
     seeds: tuple[str, ...]  # IPs of some control hosts
     is_first_start: bool
-    data_folder: str
+    data_folder: str  # empty on a machine without a disk
     # The next three: IP:PORT to listen on; empty if the role does not serve it.
     client_address: str
     readiness_address: str
--- a/gentianworks/tests/test_found_hosts.py
+++ b/gentianworks/tests/test_found_hosts.py
@@ -19,9 +19,11 @@
 from properties.control_group import SimulatedGroup
 
 
-def form_group(size: int, seeds: int = 3) -> SimulatedGroup:
+def form_group(size: int, seeds: int = 3, tolerated_losses: int = 1) -> SimulatedGroup:
     """Return a group whose hosts have all discovered each other."""
-    group = SimulatedGroup(size, 1, seed_host_count=seeds)
+    group = SimulatedGroup(
+        size, 1, seed_host_count=seeds, tolerated_losses=tolerated_losses
+    )
     wait_for(group, group.has_full_membership)
     return group
 
@@ -34,9 +36,31 @@
 
 class TestFinding:
     def test_a_host_that_is_not_a_seed_becomes_a_voter(self) -> None:
-        group = form_group(5)
+        group = form_group(5, tolerated_losses=2)
         assert len(list_voters(group)) == 5
 
+    def test_hosts_beyond_the_needed_voters_stand_by_as_learners(self) -> None:
+        group = form_group(6, tolerated_losses=2)
+        membership = group.hosts[0].replication.membership
+        assert len(membership.list_voters()) == 5
+        assert len(membership.members) == 6
+
+    def test_a_host_that_stands_by_replaces_a_lost_voter(self) -> None:
+        group = form_group(4)
+        (standby,) = {host.replication.host for host in group.hosts} - list_voters(
+            group
+        )
+        lost = next(
+            number
+            for number, host in enumerate(group.hosts)
+            if host.replication.host in list_voters(group)
+            and number != get_leader(group)
+        )
+        group.crash(lost)
+        wait_for(group, lambda: standby in list_voters(group))
+        group.start(lost)
+        wait_for(group, group.has_full_membership)
+
     def test_a_host_with_a_new_disk_replaces_its_previous_identity(self) -> None:
         group = form_group(3)
         former = group.hosts[2].replication.host
@@ -113,17 +137,64 @@
         assert reduce(known, router, group.now) == []
 
 
+class TestHostsWithoutDisk:
+    def test_a_host_without_a_disk_learns_but_never_votes(self) -> None:
+        group = form_diskless_group({3, 4, 5})
+        members = group.hosts[get_leader(group)].replication.membership.members
+        assert [item.keeps_data for item in members].count(False) == 3
+        assert len(list_voters(group)) == 3
+
+    def test_a_restarted_host_without_a_disk_joins_again(self) -> None:
+        group = form_diskless_group({3, 4, 5})
+        group.crash(4)
+        group.start(4)
+        wait_for(group, group.has_full_membership)
+
+    def test_seeds_of_which_some_have_no_disk_form_one_group(self) -> None:
+        group = form_diskless_group({0, 2})
+        assert len({host.replication.membership.group for host in group.hosts}) == 1
+
+    def test_seeds_without_a_disk_let_one_other_host_form_the_group(self) -> None:
+        for seed in range(20):
+            group = form_diskless_group({0, 1, 2}, seed)
+            groups = {host.replication.membership.group for host in group.hosts}
+            assert len(groups) == 1
+
+    def test_seeds_without_a_disk_are_told_of_the_group_after_a_loss_of_power(
+        self,
+    ) -> None:
+        group = form_diskless_group({0, 1, 2})
+        item = group.propose_item(get_leader(group))
+        wait_for(group, lambda: item in group.acknowledged_items)
+        for number in range(group.size):
+            group.crash(number)
+        group.run(10.0)
+        group.recover()
+        assert item in group.applied_items
+
+
+def form_diskless_group(diskless: set[int], seed: int = 1) -> SimulatedGroup:
+    """Return a group of six hosts of which some have no disk."""
+    group = SimulatedGroup(6, seed, seed_host_count=3, diskless=frozenset(diskless))
+    wait_for(group, group.has_full_membership)
+    return group
+
+
 class TestSilentVoters:
     def test_a_silent_voter_above_the_minimum_is_removed_and_rejoins(
         self,
     ) -> None:
-        group = form_group(4)
-        silent = group.hosts[3].replication.host
-        group.crash(3)
+        group = form_group(5, tolerated_losses=2)
+        for host in group.hosts:
+            host.state.tolerated_losses = 1
+        silent = group.hosts[4].replication.host
+        assert silent in list_voters(group)
+        group.crash(4)
         wait_for_leader(group)
         wait_for(group, lambda: silent not in list_voters(group))
-        group.start(3)
-        wait_for(group, group.has_full_membership)
+        group.start(4)
+        membership = group.hosts[get_leader(group)].replication
+        wait_for(group, lambda: membership.membership.find(silent) is not None)
 
     def test_no_silent_voter_is_removed_at_the_minimum(self) -> None:
         group = form_group(3)
--- a/gentianworks/tests/test_replication_members.py
+++ b/gentianworks/tests/test_replication_members.py
@@ -17,9 +17,11 @@
 from gentianworks.core.replication.members import ControlMember, Membership
 from gentianworks.core.replication.peer_messages import get_replication
 from gentianworks.core.replication.warnings import (
+    GROWTH_TIME,
     SILENCE_TIMEOUT,
     WARNING_INTERVAL,
     warn_of_missing_leader,
+    warn_of_small_group,
 )
 from gentianworks.tests.control_groups import (
     form_group,
@@ -115,6 +117,30 @@
         assert all(item.address in details["voters"] for item in group.hosts)
 
 
+class TestSmallGroups:
+    def list_warnings(self, tolerated_losses: int) -> list[LogEvent]:
+        """Return the warnings of the leader of a group of three."""
+        group = SimulatedGroup(
+            3, 1, seed_host_count=3, tolerated_losses=tolerated_losses
+        )
+        wait_for_leader(group)
+        group.run(GROWTH_TIME + 1.0)
+        host = group.hosts[get_leader(group)]
+        now = group.now + WARNING_INTERVAL
+        effects = warn_of_small_group(host.state, now)
+        return [item for item in effects if isinstance(item, LogEvent)]
+
+    def test_a_leader_warns_of_too_few_voters(self) -> None:
+        (log,) = self.list_warnings(tolerated_losses=2)
+        details = dict(log.details)
+        assert log.code == "GW2016"
+        assert (details["voters"], details["required"]) == ("3", "5")
+        assert details["borne_losses"] == "1"
+
+    def test_a_leader_of_enough_voters_does_not_warn(self) -> None:
+        assert self.list_warnings(tolerated_losses=1) == []
+
+
 class TestMembers:
     def test_a_host_with_a_lost_disk_rejoins_as_a_new_member(self) -> None:
         group = form_group()
@@ -168,9 +194,9 @@
         first, second = (
             host.address for number, host in enumerate(group.hosts) if number != leader
         )
-        replication.joining_hosts = {first: "new-1"}
+        replication.joining_hosts = {first: ControlMember("new-1", first, True)}
         assert change_members(state, group.now)
-        replication.joining_hosts = {second: "new-2"}
+        replication.joining_hosts = {second: ControlMember("new-2", second, True)}
         assert change_members(state, group.now) == []
         mark_all_synced(replication)
         advance_commit_index(state, group.now)
@@ -183,7 +209,7 @@
         replication = get_replication(state)
         replication.vote = evolve(replication.vote, term=replication.vote.term + 1)
         address = group.hosts[(leader + 1) % 3].address
-        replication.joining_hosts = {address: "new"}
+        replication.joining_hosts = {address: ControlMember("new", address, True)}
         assert change_members(state, group.now) == []
 
     def test_a_learner_does_not_count_towards_a_quorum(self) -> None:
@@ -199,7 +225,7 @@
         state = group.hosts[leader].state
         replication = get_replication(state)
         address = group.hosts[(leader + 1) % 3].address
-        replication.joining_hosts = {address: "new"}
+        replication.joining_hosts = {address: ControlMember("new", address, True)}
         assert change_members(state, group.now)
         mark_all_synced(replication)
         advance_commit_index(state, group.now)
--- a/properties/control_group.py
+++ b/properties/control_group.py
@@ -35,6 +35,7 @@
 from gentianworks.core.handlers import reduce
 from gentianworks.core.replication.control import ControlState
 from gentianworks.core.replication.log import Entry, Log, Position, Snapshot, Vote
+from gentianworks.core.replication.members import Membership
 from gentianworks.core.replication.peer_messages import get_replication
 from gentianworks.core.replication.proposals import confirm_read, propose
 from gentianworks.core.replication.replication import Replication
@@ -93,6 +94,9 @@
     now: float = START_TIME
     # Each host is configured with this many hosts and discovers the others; 0 for all.
     seed_host_count: int = 0
+    tolerated_losses: int = 1
+    # Hosts without a disk: each start of them is that of a new host.
+    diskless: frozenset[int] = frozenset()
     rng: random.Random = field(init=False)
     hosts: list[SimulatedHost] = field(factory=list)
     # (sender, receiver) addresses between which messages are lost
@@ -130,6 +134,8 @@
         host = self.hosts[number]
         host.generation += 1
         host.is_up, host.is_frozen = True, False
+        if number in self.diskless:
+            host.disk = self._create_disk()
         host.state = self._create_state(number)
         contents = copy.deepcopy(host.disk.contents)
         self._handle(number, ProcessStarted(self.rng.getrandbits(48)))
@@ -213,15 +219,30 @@
         return max(leading)[1] if leading else None
 
     def has_full_membership(self) -> bool:
-        """Return True if all hosts are up and agree that each, with its disk, votes."""
-        hosts = {host.disk.contents.host for host in self.hosts}
+        """Return whether all hosts are up and agree on the members and enough voters.
+
+        Each host is a member with its present disk. Hosts that discover each other have
+        twice the tolerated losses and one as voters, as far as they keep their data.
+        """
         return all(
             host.is_up
-            and set(host.replication.membership.list_voters()) == hosts
+            and self._is_full(host.replication.membership)
             and host.state.control.replicated.membership == host.replication.membership
             for host in self.hosts
         )
 
+    def _is_full(self, membership: Membership) -> bool:
+        hosts = [host.disk.contents.host for host in self.hosts]
+        durable = {
+            host for number, host in enumerate(hosts) if number not in self.diskless
+        }
+        wanted = len(durable)
+        if self.seed_host_count:
+            wanted = min(wanted, 2 * self.tolerated_losses + 1)
+        voters = set(membership.list_voters())
+        members = {item.host for item in membership.members}
+        return members == set(hosts) and len(voters) == wanted and voters <= durable
+
     def recover(self, seconds: float = 60.0) -> None:
         """Heal every fault and assert that the group converges without a lost item."""
         self.heal()
@@ -255,6 +276,8 @@
             control_addresses=addresses[: self.seed_host_count or self.size],
             discovers_control_hosts=self.seed_host_count > 0,
             is_first_start=not self.seed_host_count or self.now == START_TIME,
+            tolerated_losses=self.tolerated_losses,
+            keeps_data=number not in self.diskless,
             checks_invariants=True,
             control=ControlState(replicated=ItemList()),
         )
