Let the log tell which parts a failed call has, and whether its answer had begun

The parts of a failed attempt and whether its answer had begun are what tells them apart; GW5101 has both now. No decision changes.

--- a/gentianworks/core/gateway/attempts.py
+++ b/gentianworks/core/gateway/attempts.py
@@ -202,6 +202,7 @@
         drop = CancelReplicaCall(exchange.attempt)
         return [drop, *_fail_defective_attempt(exchange, gap, state, now)]
     exchange.awaits_next_event = False
+    exchange.has_received_piece = True
     if event.last >= 0:
         exchange.last_event = event.last
     return [RelayPiece(exchange.id, event.data)]
@@ -290,6 +291,8 @@
         (
             *describe_call(exchange, gateway, now),
             ("cause", detail),
+            ("begun", str(exchange.has_received_piece)),
+            ("parts", " ".join(exchange.call.list_shared_parts())),
             ("repeated", str(is_repeated)),
             ("budget", f"{gateway.get_retry_budget(exchange.service).retries:.1f}"),
         ),
--- a/gentianworks/core/gateway/calls.py
+++ b/gentianworks/core/gateway/calls.py
@@ -31,6 +31,10 @@
     output_tokens: int = 0
     last_event: int = -1  # number of the last event that the caller has; -1 for none
 
+    def list_shared_parts(self) -> tuple[str, ...]:
+        """Return the digests of the prompt parts that other calls may share."""
+        return tuple(part.digest for part in self.prompt[:-1])
+
     @property
     def affinity_key(self) -> str:
         """Return the digest of the last prompt part that other calls share."""
--- a/gentianworks/core/gateway/dispatch.py
+++ b/gentianworks/core/gateway/dispatch.py
@@ -161,6 +161,7 @@
     exchange.replica = replica
     exchange.sent_at = now
     exchange.has_received_head = False
+    exchange.has_received_piece = False
     exchange.awaits_next_event = exchange.has_sent_head
     exchange.tried_replicas.add(replica.name)
     gateway.registry.get_load(replica.name).own_calls += 1
--- a/gentianworks/core/gateway/state.py
+++ b/gentianworks/core/gateway/state.py
@@ -37,6 +37,7 @@
     replica: Replica | None = None
     sent_at: float = 0.0
     has_received_head: bool = False  # the current attempt has begun to answer
+    has_received_piece: bool = False  # of the current attempt's answer
     attempt_count: int = 0
     tried_replicas: set[ReplicaName] = field(factory=set)
     # Head of the answer that the caller has begun to receive.
