--- a/gentianworks/platform/runner.py
+++ b/gentianworks/platform/runner.py
@@ -8,7 +8,6 @@
 import secrets
 import signal
 import socket
-import tempfile
 import time
 from functools import partial
 from pathlib import Path
@@ -49,12 +48,15 @@
 )
 from gentianworks.process import Process, perform
 from gentianworks.settings import LogSettings
-from gentianworks.storage.startup import open_store_or_exit, start_store
+from gentianworks.storage.startup import (
+    open_store_or_exit,
+    open_volatile_store,
+    start_store,
+)
 from gentianworks.storage.store import OpenedStore
 from gentianworks.web.metrics import MetricsApplication, answer_not_found
 from gentianworks.web.server import Application, Server, create_server
 
-TEMPORARY_PREFIX = "gentianworks-control-"
 # The platform provides no secret; only its own processes can reach its network.
 PEER_KEY = b"gentianworks"
 # A group of dedicated hosts can send more heartbeats than the nodes of a fleet, and
@@ -154,10 +156,10 @@
 
 
 def _open_store(settings: MachineSettings) -> OpenedStore:
-    """Return the store of a control host, in a temporary folder if it has no disk."""
+    """Return the store of a control host, which stores nothing if it has no disk."""
     if settings.data_folder:
         return open_store_or_exit(settings.data_folder)
-    return open_store_or_exit(tempfile.mkdtemp(prefix=TEMPORARY_PREFIX))
+    return open_volatile_store()
 
 
 def _build_fetches(settings: MachineSettings) -> ListFetches:
--- a/gentianworks/storage/startup.py
+++ b/gentianworks/storage/startup.py
@@ -8,7 +8,13 @@
 from gentianworks.core.events.replication import JournalLoaded
 from gentianworks.process import Process
 from gentianworks.storage.errors import STORAGE_EXIT_STATUS
-from gentianworks.storage.store import OpenedStore, open_store
+from gentianworks.storage.store import (
+    HOST_ID_BYTES,
+    OpenedStore,
+    Store,
+    open_store,
+)
+from gentianworks.storage.volatile import VolatileJournal
 
 SEED_BITS = 48
 
@@ -25,6 +31,13 @@
     return opened.ok
 
 
+def open_volatile_store() -> OpenedStore:
+    """Return the store of a control host without a disk."""
+    journal = VolatileJournal()
+    contents = journal.load(secrets.token_hex(HOST_ID_BYTES)).ok
+    return OpenedStore(Store(journal), contents)
+
+
 def start_store(
     stored: OpenedStore, process: Process, process_age: float = 0.0
 ) -> None:
--- a/gentianworks/tests/test_store.py
+++ b/gentianworks/tests/test_store.py
@@ -21,6 +21,7 @@
 from gentianworks.storage import journal as journal_module
 from gentianworks.storage.errors import STORAGE_EXIT_STATUS
 from gentianworks.storage.journal import Journal
+from gentianworks.storage.startup import open_volatile_store
 from gentianworks.storage.store import DISK_FULL_RETRY_INTERVAL, Store
 from gentianworks.tests.fixtures import build_state
 
@@ -149,3 +150,43 @@
         with pytest.raises(OSError, match="space"):
             store.save_snapshot(effect, process)
         assert exits == [STORAGE_EXIT_STATUS]
+
+
+class TestVolatileStore:
+    """Machines without a disk may have no folder in which a file can be replaced."""
+
+    def test_writes_are_reported_and_no_file_is_touched(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        def refuse(*_: object, **__: object) -> None:
+            raise OSError(errno.EROFS, "Read-only file system")
+
+        monkeypatch.setattr("os.open", refuse)
+        monkeypatch.setattr("os.replace", refuse)
+        monkeypatch.setattr("os.mkdir", refuse)
+        monkeypatch.setattr("io.open", refuse)
+        opened = open_volatile_store()
+        assert not opened.contents.entries
+        synced: list[int] = []
+        process = SimpleNamespace(
+            handle=lambda event: synced.append(event.sequence),
+            fail=lambda *details: pytest.fail(f"the process ended: {details}"),
+        )
+        position = Position(1, 1)
+        entry = Entry(position, BeginTerm("p1", 0.0))
+        snapshot = Snapshot(position, ReplicatedState())
+
+        async def write() -> None:
+            store = opened.store
+            effect = WriteJournal(1, Vote(1), (entry,))
+            store.enqueue_write(effect, cast(Process, process))
+            await anyio.sleep(0.01)
+            save = SaveSnapshot(2, "host", Vote(1), snapshot, position, ())
+            store.save_snapshot(save, cast(Process, process))
+
+        anyio.run(write)
+        assert synced == [1, 2]
+
+    def test_each_start_is_that_of_a_new_host(self) -> None:
+        first, second = open_volatile_store(), open_volatile_store()
+        assert first.contents.host != second.contents.host
