Let one odd entry of the list hide no other and end no process

Another operator's report, tried here: an entry that is nested deeply, or has a number of 5,000 digits or bytes that are no text, made its whole page unreadable, so routers followed the list no more while it stood. One with a number of 300 digits as slots, or half a character in its id, was taken as a replica; the leader's message with it can't be encoded, which ends the control host, and the next leader after it.

Cause: a page was parsed as one document, and the fields of an entry were checked for their types but not for what the system can encode, send in a header or connect to.

Change: a page that can't be parsed is split at its brackets and commas, and each entry is parsed by itself; those that can't be are counted and skipped. Slots have a limit, ids are ASCII, texts are printable and short, addresses are IPv4 with a port in range, `version` is a text. `next` must be a text: an odd one is an error instead of a token.

--- a/gentianworks/platform/replica_listing.py
+++ b/gentianworks/platform/replica_listing.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import ipaddress
 import json
+import re
 from typing import Any
 from urllib.parse import quote
 
@@ -25,6 +27,12 @@
 STATUS_THROTTLED = 429
 STATE_READY = "ready"
 STATE_DRAINING = "draining"
+MAX_SLOTS = 1_000_000  # calls
+MAX_TEXT = 256  # characters
+MAX_PORT = 65535
+MAX_PORT_DIGITS = 5
+_UNREADABLE = (ValueError, KeyError, TypeError, AttributeError, RecursionError)
+_JSON_TOKEN = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"|[][{},]', re.DOTALL)
 
 
 @frozen
@@ -128,15 +136,85 @@
 
 
 def decode_page(body: bytes) -> ListingPage:
-    """Return one page; entries that can't be decoded are counted and skipped."""
+    """Return one page; entries that can't be decoded are counted and skipped.
+
+    Raises ListingError if the page itself can't be read.
+    """
     try:
-        document: Any = json.loads(body)
-        entries = list(document["instances"])
-        token = document.get("next")
-    except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
-        raise ListingError(f"a page can't be read ({error!r})") from error
+        entries, token = _read_page(body)
+    except _UNREADABLE:
+        entries, token = _read_page_by_entries(body)
     replicas = [item for item in map(_decode_entry, entries) if item is not None]
-    return ListingPage(tuple(replicas), len(entries) - len(replicas), str(token or ""))
+    return ListingPage(tuple(replicas), len(entries) - len(replicas), token)
+
+
+def _read_page(body: bytes) -> tuple[list[Any], str]:
+    document: Any = json.loads(body)
+    return _read_entries(document["instances"]), _read_token(document.get("next"))
+
+
+def _read_page_by_entries(body: bytes) -> tuple[list[Any], str]:
+    """Return the entries of a page that can't be read as a whole.
+
+    One entry may be nested too deeply for the parser, or have a number or bytes that it
+    does not accept; None stands for such an entry.
+    """
+    try:
+        members = dict(map(_split_member, split_json(body, b"{")))
+        entries = [_read_entry(item) for item in split_json(members["instances"], b"[")]
+        return entries, _read_token(json.loads(members.get("next", b"null")))
+    except _UNREADABLE as error:
+        raise ListingError(f"a page can't be read ({error!r})") from error
+
+
+def _split_member(member: bytes) -> tuple[str, bytes]:
+    name, end = json.JSONDecoder().raw_decode(member.decode("latin-1").strip())
+    return str(name), member.strip()[end:].lstrip().removeprefix(b":")
+
+
+def _read_entries(entries: Any) -> list[Any]:
+    if not isinstance(entries, list):
+        raise TypeError(f"instances is a {type(entries).__name__}, not a list")
+    return entries
+
+
+def _read_token(token: Any) -> str:
+    if token is None:
+        return ""
+    if not isinstance(token, str):
+        raise TypeError(f"next is a {type(token).__name__}, not a string")
+    return token
+
+
+def _read_entry(entry: bytes) -> Any:
+    try:
+        return json.loads(entry)
+    except _UNREADABLE:
+        return None
+
+
+def split_json(data: bytes, opening: bytes) -> list[bytes]:
+    """Return the items of an encoded object or list, without parsing them.
+
+    Raises ValueError unless it begins with `opening` and has an end.
+    """
+    if not data.lstrip().startswith(opening):
+        raise ValueError(f"{data[:20]!r} does not begin with {opening!r}")
+    items: list[bytes] = []
+    depth = start = 0
+    for match in _JSON_TOKEN.finditer(data):
+        token = match.group()
+        if token in b"[{":
+            depth += 1
+            start = match.end() if depth == 1 else start
+        elif token in b"]}":
+            depth -= 1
+        if depth == 0 or (depth == 1 and token == b","):
+            items.append(data[start : match.start()])
+            start = match.end()
+        if depth == 0:
+            return items if len(items) > 1 or items[0].strip() else []
+    raise ValueError("an object or list has no end")
 
 
 def _decode_entry(entry: Any) -> Replica | None:
@@ -145,21 +223,36 @@
         zone, slots, state = entry["zone"], entry["slots"], entry["state"]
     except (KeyError, TypeError):
         return None
-    texts = (name, service, address, zone, state)
-    if not all(isinstance(item, str) and item for item in texts):
+    version = entry.get("version", "unknown")
+    if not all(map(_is_text, (name, service, address, zone, state, version))):
         return None
-    if isinstance(slots, bool) or not isinstance(slots, int) or slots <= 0:
+    if not _is_token(name) or not _is_address(address):
         return None
-    if state not in {STATE_READY, STATE_DRAINING} or not _is_address(address):
+    if isinstance(slots, bool) or not isinstance(slots, int):
+        return None
+    if not 0 < slots <= MAX_SLOTS or state not in {STATE_READY, STATE_DRAINING}:
         return None
     return Replica(name, service, address, zone, slots, state == STATE_DRAINING)
 
 
+def _is_text(value: Any) -> bool:
+    """Return whether a value is a short text that can be encoded."""
+    return isinstance(value, str) and 0 < len(value) <= MAX_TEXT and value.isprintable()
+
+
+def _is_token(text: str) -> bool:
+    """Return whether a text can be the value of a header."""
+    return text.isascii() and " " not in text
+
+
 def _is_address(text: str) -> bool:
     host, _, port = text.rpartition(":")
-    parts = host.split(".")
-    is_ip = len(parts) == 4 and all(part.isdigit() for part in parts)
-    return is_ip and port.isdigit() and 0 < int(port) < 65536
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    is_number = port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS
+    return is_number and 0 < int(port) <= MAX_PORT
 
 
 @perform.register
--- a/gentianworks/tests/test_platform_messages.py
+++ b/gentianworks/tests/test_platform_messages.py
@@ -178,6 +178,102 @@
             decode_page(b"\xff\x00")
 
 
+SOUND_ENTRY = (
+    b'{"id":"i-1","service":"engines","address":"10.0.0.1:80","zone":"a",'
+    b'"version":"v1","slots":8,"state":"ready"}'
+)
+
+
+def replace_field(name: str, value: bytes) -> bytes:
+    """Return the sound entry with the encoded value of one field replaced."""
+    before, _, rest = SOUND_ENTRY.replace(b"i-1", b"i-2").partition(
+        b'"%s":' % name.encode()
+    )
+    _, _, after = rest.partition(b',"') if b',"' in rest else (b"", b"", b"")
+    tail = b',"' + after if after else b"}"
+    return before + b'"%s":' % name.encode() + value + tail
+
+
+ODD_ENTRIES = {
+    "deeply nested lists": replace_field("version", b"[" * 100_000 + b"]" * 100_000),
+    "deeply nested objects": replace_field(
+        "version", b'{"a":' * 5000 + b"1" + b"}" * 5000
+    ),
+    "a list for a text": replace_field("version", b"[1]"),
+    "a nested entry": b"[" * 100_000 + b"]" * 100_000,
+    "slots of 5,000 digits": replace_field("slots", b"9" * 5000),
+    "slots of 300 digits": replace_field("slots", b"9" * 300),
+    "slots beyond any machine": replace_field("slots", b"4000000000"),
+    "slots as a fraction": replace_field("slots", b"8.5"),
+    "infinite slots": replace_field("slots", b"1e999"),
+    "slots that are no number": replace_field("slots", b"NaN"),
+    "negative slots": replace_field("slots", b"-8"),
+    "a port out of range": replace_field("address", b'"10.0.0.1:65536"'),
+    "port 0": replace_field("address", b'"10.0.0.1:0"'),
+    "a port of 5,000 digits": replace_field(
+        "address", b'"10.0.0.1:%s"' % (b"9" * 5000)
+    ),
+    "a port in other digits": replace_field("address", '"10.0.0.1:²"'.encode()),
+    "a host out of range": replace_field("address", b'"10.0.0.999:80"'),
+    "a host name": replace_field("address", b'"replica.example:80"'),
+    "bytes that are no text": replace_field("version", b'"\xff\xfe"'),
+    "an id that is no text": replace_field("id", b'"\xff\xfe"'),
+    "half a character": replace_field("id", b'"i-\\ud800"'),
+    "a line break in the id": replace_field("id", b'"i-2\\r\\nx: y"'),
+    "an id that no header takes": replace_field("id", '"i-ŵ"'.encode()),
+    "half a character in the zone": replace_field("zone", b'"\\udfff"'),
+    "an id without end": replace_field("id", b'"%s"' % (b"x" * 100_000)),
+    "a raw line break": replace_field("zone", b'"a\nb"'),
+    "a word that is no value": replace_field("version", b"nothing"),
+    "a list of fields": b'["id","service"]',
+    "nothing": b"null",
+}
+
+
+@pytest.mark.parametrize("odd", ODD_ENTRIES.values(), ids=ODD_ENTRIES.keys())
+class TestOddEntries:
+    """Another writer's entry must not hide those of the replicas, nor end a process."""
+
+    def test_the_other_entries_hold(self, odd: bytes) -> None:
+        last = SOUND_ENTRY.replace(b"i-1", b"i-3")
+        body = b'{"instances":[%s , %s,\n%s],"next":"p-2"}' % (SOUND_ENTRY, odd, last)
+        page = decode_page(body)
+        assert [item.name for item in page.replicas] == ["i-1", "i-3"]
+        assert page.rejected_entries == 1
+        assert page.next_page == "p-2"
+
+    def test_the_place_of_the_entry_does_not_matter(self, odd: bytes) -> None:
+        for entries in ((odd, SOUND_ENTRY), (SOUND_ENTRY, odd)):
+            page = decode_page(b'{"next":null,"instances":[%s,%s]}' % entries)
+            assert [item.name for item in page.replicas] == ["i-1"]
+            assert page.rejected_entries == 1
+            assert page.next_page == ""
+
+
+class TestUnreadablePages:
+    @pytest.mark.parametrize(
+        "body",
+        [
+            b"",
+            b"[]",
+            b'{"instances":[%s' % SOUND_ENTRY,
+            b'{"instances":[%s]' % SOUND_ENTRY,
+            b'{"instances":{"a":1},"next":null}',
+            b'{"instances":[],"next":{"a":1}}',
+            b'{"instances":[],"next":7}',
+            b'{"next":null}',
+            b"[" * 100_000,
+        ],
+    )
+    def test_a_page_without_a_complete_list_is_an_error(self, body: bytes) -> None:
+        with pytest.raises(ListingError):
+            decode_page(body)
+
+    def test_an_empty_list_is_read(self) -> None:
+        for body in (b'{"instances":[],"next":null}', b'{"instances": [ ] }'):
+            assert decode_page(body).replicas == ()
+
+
 class TestCalls:
     HEADERS = (
         Header("host", "A.example:80"),
