Test answers whose head ends early, on both paths

Another operator's report: a replica stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole. It does not happen here: heads with a length, with chunks, of a stream and without either were cut at each seventh byte and after each line, and closed in order or reset; a router refuses the call as perhaps run, an agent reports the call as cut.

--- a/gentianworks/tests/faulty_replicas.py
+++ b/gentianworks/tests/faulty_replicas.py
@@ -40,6 +40,7 @@
 REQUEST_END = b"\r\n\r\n"
 EARLY_PAUSE = 0.2  # seconds in which the next request is sent
 TEST_TIMEOUT = 6.0  # seconds
+CLOSE_TIME = 0.02  # seconds in which the end of the bytes arrives
 
 # Writes the bytes of one answer; the argument is the id of the request.
 Script = Callable[[asyncio.StreamWriter, str], Awaitable[None]]
@@ -100,6 +101,18 @@
     return run
 
 
+def send_and_close(data: bytes) -> Script:
+    """Return a script that writes bytes and closes the connection in order."""
+
+    async def run(writer: asyncio.StreamWriter, request_id: str) -> None:
+        writer.write(data.replace(b"$ID", request_id.encode()))
+        writer.write_eof()
+        await writer.drain()
+        await asyncio.sleep(CLOSE_TIME)
+
+    return run
+
+
 def repeat_until_closed(prefix: bytes, unit: bytes, pause: float = 0.0) -> Script:
     """Return a script that writes a unit of bytes without end."""
 
--- a/gentianworks/tests/test_engines.py
+++ b/gentianworks/tests/test_engines.py
@@ -194,6 +194,15 @@
         assert events[-1] == EngineCallFailed("a1", CallFailure.CUT)
         assert EngineAnswerEnded("a1") not in events
 
+    @pytest.mark.parametrize("size", range(0, len(CHUNKED), 5))
+    def test_whose_head_ends_early_fail_as_cut(self, size: int) -> None:
+        async def answer(client: SocketStream) -> None:
+            await client.send(CHUNKED[:size])
+
+        (event,) = call_engine(answer)
+        assert isinstance(event, EngineCallFailed)
+        assert event.failure is CallFailure.CUT
+
     def test_that_end_within_an_event_omit_that_event(self) -> None:
         events = call_engine(send_parts(CHUNKED, encode_chunk(EVENTS[:20])))
         assert join_data(events) == EVENTS[:15]
--- a/gentianworks/tests/test_faulty_replicas.py
+++ b/gentianworks/tests/test_faulty_replicas.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 import anyio
@@ -28,6 +29,7 @@
     repeat_until_closed,
     run_router,
     send,
+    send_and_close,
     send_and_reset,
 )
 
@@ -174,6 +176,53 @@
         assert isinstance(get_end(parts), FinishAnswer)
 
 
+HEADS = {
+    "with a length": OWN.partition(b"own answer")[0],
+    "with chunks": build_head("$ID", 200, transfer_encoding="chunked"),
+    "of a stream": build_stream_head("$ID"),
+    "that ends with its connection": build_head("$ID"),
+}
+
+
+class TestIncompleteHeads:
+    """A replica that stops in its head must not make an empty answer look whole."""
+
+    @pytest.mark.anyio
+    @pytest.mark.parametrize("head", HEADS.values(), ids=HEADS.keys())
+    @pytest.mark.parametrize("end", [send_and_close, send_and_reset])
+    async def test_a_head_that_ends_early_is_no_answer(
+        self, head: bytes, end: Callable[[bytes], Script]
+    ) -> None:
+        head = head.replace(b"$ID", b"r1")
+        cuts = [head[:size] for size in range(0, len(head), 7)]
+        cuts += [line + b"\r\n" for line in _list_line_starts(head)]
+        replica = FaultyReplica([end(cut) for cut in cuts])
+        async with run_router(replica, service="books") as router:
+            for _ in cuts:
+                parts = await router.call("r1", **PAY)
+                assert len(parts) == 1
+                problem = get_end(parts)
+                assert isinstance(problem, RefuseRequest)
+                assert problem.problem.run_state is RunState.UNKNOWN
+
+    @pytest.mark.anyio
+    @pytest.mark.parametrize("size", [0, 1, 9])
+    @pytest.mark.parametrize("end", [send_and_close, send_and_reset])
+    async def test_a_body_that_ends_early_is_incomplete(
+        self, size: int, end: Callable[[bytes], Script]
+    ) -> None:
+        cut = OWN.partition(b"own answer")[0] + b"own answer"[:size]
+        async with run_router(FaultyReplica([end(cut)]), service="books") as router:
+            parts = await router.call("r1", **PAY)
+        assert isinstance(get_end(parts), AbortAnswer)
+
+
+def _list_line_starts(head: bytes) -> list[bytes]:
+    """Return what precedes the end of each line but the last two."""
+    lines = head.split(b"\r\n")[:-2]
+    return [b"\r\n".join(lines[:count]) for count in range(1, len(lines))]
+
+
 class TestContradictions:
     @pytest.mark.anyio
     @pytest.mark.parametrize(
