Answer the last calls of a stopping router before it is killed

New connections and calls are taken for 2.5 s after SIGTERM, not later; but nothing used the grace time that the settings tell. A call of that time, or one from before, that ran longer was cut by the kill, payments too.

Change: while it stops, a router refuses as not run a call that must not be repeated if its deadline is after the last moment, and any other if twice the mean time of its service is. The last moment is half a second before the end of the grace time; calls still open then are answered (502, or 503 if they were never sent), and streams that have begun are broken off.

TestDeparture fails on the code before, where the settings' grace time has no use. A product router has no grace time and goes on as before.

--- a/gentianworks/core/events/gateway.py
+++ b/gentianworks/core/events/gateway.py
@@ -40,6 +40,11 @@
     exchange: ExchangeId
 
 
+@frozen
+class GraceEnding(Event):
+    """Occurs when a stopping process is about to be killed."""
+
+
 @frozen
 class CallExpired(Event):
     """Occurs when a call has reached its deadline."""
--- a/gentianworks/core/gateway/dispatch.py
+++ b/gentianworks/core/gateway/dispatch.py
@@ -14,15 +14,16 @@
     CallArrived,
     CallExpired,
     CallWaitExpired,
+    GraceEnding,
 )
-from gentianworks.core.gateway.admission import compute_retry_after
+from gentianworks.core.gateway.admission import DEFAULT_DURATION, compute_retry_after
 from gentianworks.core.gateway.calls import Call
 from gentianworks.core.gateway.crashes import check_call
 from gentianworks.core.gateway.log_details import describe_call
 from gentianworks.core.gateway.placement import choose_replica
 from gentianworks.core.gateway.prompt_sources import find_prompt_source
 from gentianworks.core.gateway.replicas import Replica
-from gentianworks.core.gateway.route_table import Route, WorkspaceKeys
+from gentianworks.core.gateway.route_table import RetryPolicy, Route, WorkspaceKeys
 from gentianworks.core.gateway.startup_queue import (
     MAX_QUEUED_CALLS,
     QueuedCall,
@@ -37,6 +38,7 @@
 
 RETRY_AFTER = 0.3  # seconds; about the time to discover a replica or receive a table
 MAX_STARTUP_TIME = 1.5  # seconds; the longest election and a heartbeat
+GRACE_DURATION_MULTIPLE = 2.0  # of the mean; covers most calls of a service
 ANSWER_MARGIN = 0.02  # seconds; lets an answer at the deadline still reach the caller
 
 
@@ -106,9 +108,42 @@
     gateway.exchanges[exchange.id] = exchange
     gateway.get_retry_budget(exchange.service).deposit()
     timer = SetTimer(exchange.deadline, CallExpired(exchange.id))
+    if would_outlast_grace(exchange, gateway, state, now):
+        problem = _describe_departure(state, RunState.NOT_RUN)
+        return fail_call(exchange, problem, gateway, now)
     return [timer, *send_to_best_replica(exchange, gateway, state, now)]
 
 
+def would_outlast_grace(
+    exchange: GatewayExchange, gateway: GatewayState, state: State, now: float
+) -> bool:
+    """Return whether this process may be killed before a call is answered.
+
+    A call that must not be repeated is taken only if its deadline comes first.
+    """
+    if exchange.route.retry_policy is RetryPolicy.AT_MOST_ONCE:
+        return exchange.deadline > state.last_answer_at
+    duration = gateway.mean_durations.get(exchange.service, DEFAULT_DURATION)
+    return now + GRACE_DURATION_MULTIPLE * duration > state.last_answer_at
+
+
+@reduce.register
+def _(event: GraceEnding, state: State, now: float) -> list[Effect]:
+    """Answer the calls that are still open, before they are cut without an answer."""
+    gateway = state.gateway
+    if gateway is None:
+        return []
+    effects: list[Effect] = []
+    for exchange in list(gateway.exchanges.values()):
+        run_state = RunState.UNKNOWN if exchange.attempt else RunState.NOT_RUN
+        problem = _describe_departure(state, run_state)
+        effects += fail_call(exchange, problem, gateway, now)
+    queue, gateway.startup_queue = gateway.startup_queue, {}
+    for exchange_id, queued in queue.items():
+        effects += _refuse_not_ready(exchange_id, queued.call, gateway, now)
+    return effects
+
+
 def choose_rank(route: Route, workspace: WorkspaceKeys | None) -> int:
     """Return the rank of a call; the workspace's rank overrides the route's."""
     if workspace is None or workspace.rank is None:
@@ -281,6 +316,16 @@
     )
 
 
+def _describe_departure(state: State, run_state: RunState) -> Problem:
+    return Problem(
+        ProblemKind.NOT_READY,
+        f"Router {state.node.name!r} stops before it could answer the call; "
+        f"send it to another router.",
+        run_state,
+        RETRY_AFTER,
+    )
+
+
 def _describe_no_route(call: Call) -> Problem:
     return Problem(
         ProblemKind.NO_SUCH_ROUTE,
--- a/gentianworks/core/lifecycle.py
+++ b/gentianworks/core/lifecycle.py
@@ -8,6 +8,7 @@
 from gentianworks.core.configuration.distribution import start_distribution
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.lifecycle import SetTimer, StopProcess
+from gentianworks.core.events.gateway import GraceEnding
 from gentianworks.core.events.lifecycle import (
     ProcessStarted,
     ShutdownRequested,
@@ -21,6 +22,7 @@
 from gentianworks.core.types import Role
 
 STOP_CHECK_INTERVAL = 0.1  # seconds
+GRACE_MARGIN = 0.5  # seconds, for the last answers to reach their callers
 
 
 @reduce.register
@@ -38,15 +40,23 @@
 @reduce.register
 def _(event: ShutdownRequested, state: State, now: float) -> list[Effect]:
     state.is_leaving = True
+    state.last_answer_at = now + state.grace_time - GRACE_MARGIN
     stop = SetTimer(now + state.drain_time, StopCheckDue())
     return [
         stop,
         *_announce_departure(state, now),
         *begin_handover(state, now),
         *start_drain(state, now),
+        *_time_last_answers(state),
     ]
 
 
+def _time_last_answers(state: State) -> list[Effect]:
+    if state.gateway is None or state.last_answer_at == float("inf"):
+        return []
+    return [SetTimer(state.last_answer_at, GraceEnding())]
+
+
 def _announce_departure(state: State, now: float) -> list[Effect]:
     if state.node.role is Role.CONTROL:
         return []
--- a/gentianworks/core/state.py
+++ b/gentianworks/core/state.py
@@ -30,8 +30,9 @@
     `control_addresses` are the peer addresses of the control hosts, and
     `region_addresses` those of the other regions' control hosts. `platform_address` is
     the IP:PORT of the platform's list of hosts. `drain_time` is the time in seconds for
-    which a stopping process still accepts new work. `store_rate` is the throughput of
-    the store of model weights, in bytes per second.
+    which a stopping process still accepts new work, and `grace_time` the one after
+    which it is killed, infinite if it is not. `store_rate` is the throughput of the
+    store of model weights, in bytes per second.
 
     With `discovers_control_hosts`, `control_addresses` contains only some of the
     control hosts, which report the others; a group is formed only at the first start,
@@ -48,6 +49,7 @@
     region_addresses: tuple[str, ...] = ()
     platform_address: str = ""
     drain_time: float = 0.0
+    grace_time: float = float("inf")
     store_rate: float = DEFAULT_STORE_RATE
     timing: Timing = field(factory=Timing)
     discovers_control_hosts: bool = False
@@ -58,6 +60,7 @@
     incarnation: int = 0
     last_id: int = 0
     is_leaving: bool = False
+    last_answer_at: float = float("inf")  # seconds; when a leaving process must be done
     checks_invariants: bool = False
     configuration: Configuration = field(factory=Configuration)
     fleet: Fleet = field(factory=Fleet)
--- a/gentianworks/platform/runner.py
+++ b/gentianworks/platform/runner.py
@@ -140,6 +140,7 @@
             settings.build_peer_address(Role.CONTROL.value, ip) for ip in settings.seeds
         ),
         drain_time=DRAIN_TIME if is_router else 0.0,
+        grace_time=settings.grace_time,
         timing=TIMING,
         discovers_control_hosts=True,
         is_first_start=settings.is_first_start,
--- a/gentianworks/tests/test_gateway_dispatch.py
+++ b/gentianworks/tests/test_gateway_dispatch.py
@@ -21,6 +21,7 @@
     AnswerStartOverdue,
     CallAbandoned,
     CallExpired,
+    GraceEnding,
     ReplicaAnswerEnded,
     ReplicaAnswerPiece,
     ReplicaCallFailed,
@@ -33,7 +34,9 @@
 from gentianworks.core.gateway.route_table import RouteTable, TrafficShare
 from gentianworks.core.gateway.startup_queue import MAX_QUEUED_CALLS
 from gentianworks.core.handlers import reduce
+from gentianworks.core.state import State
 from gentianworks.core.types import ProblemKind, RunState
+from gentianworks.platform.calls import encode_problem
 from gentianworks.tests.gateways import (
     CALL,
     CHAT,
@@ -320,3 +323,53 @@
         answer_call(sent, state)
         effects = reduce(CallExpired("x1"), state, NOW + 5)
         assert AbortAnswer in list_types(effects)
+
+
+class TestDeparture:
+    """A router that is killed at the end of its grace cuts calls without an answer."""
+
+    def leave(self, grace_time: float = 8.0) -> State:
+        """Return a router that has just been told to stop."""
+        state = build_gateway()
+        state.grace_time = grace_time
+        state.drain_time = 2.5
+        reduce(ShutdownRequested(), state, NOW)
+        return state
+
+    def test_a_payment_whose_deadline_is_after_the_grace_is_refused(self) -> None:
+        state = self.leave(grace_time=2.0)
+        assert get_effect(CallReplica, send_call(state, **PAY))
+        late = send_call(state, NOW + 0.5, "x2", **PAY)
+        problem = get_effect(RefuseRequest, late).problem
+        assert problem.run_state is RunState.NOT_RUN
+        assert encode_problem(problem).status == 503
+
+    def test_a_chat_that_is_expected_to_end_in_time_is_taken(self) -> None:
+        state = self.leave()
+        get_gateway(state).mean_durations["engines"] = 2.0
+        assert get_effect(CallReplica, send_call(state, NOW + 2.0))
+        get_gateway(state).mean_durations["engines"] = 4.0
+        refused = get_effect(RefuseRequest, send_call(state, NOW + 2.0, "x2"))
+        assert refused.problem.run_state is RunState.NOT_RUN
+
+    def test_the_last_calls_are_answered_before_the_grace_ends(self) -> None:
+        state = self.leave()
+        sent = get_effect(CallReplica, send_call(state))
+        effects = reduce(GraceEnding(), state, NOW + 7.5)
+        assert get_effect(CancelReplicaCall, effects).attempt == sent.attempt
+        problem = get_effect(RefuseRequest, effects).problem
+        assert problem.run_state is RunState.UNKNOWN
+        assert encode_problem(problem).status == 502
+        assert not get_gateway(state).exchanges
+
+    def test_an_answer_that_has_begun_ends_as_incomplete(self) -> None:
+        state = self.leave()
+        answer_call(get_effect(CallReplica, send_call(state)), state)
+        assert get_effect(AbortAnswer, reduce(GraceEnding(), state, NOW + 7.5))
+
+    def test_a_process_that_is_not_killed_has_no_last_moment(self) -> None:
+        state = build_gateway()
+        effects = reduce(ShutdownRequested(), state, NOW)
+        timers = [item for item in effects if isinstance(item, SetTimer)]
+        assert not [item for item in timers if isinstance(item.event, GraceEnding)]
+        assert get_effect(CallReplica, send_call(state, **PAY))
