Bound the numbers and texts of configurations and of replicas' loads

A configuration with a version of more than 64 bits was taken, and its message to the other control hosts can't be encoded, which ends them; one with a time that is no finite number was taken; one with a number of 400 digits ended its call with no answer. A workspace's name outside Latin-1 ended the router that sent the first call with it on a kept connection; one with a line break would have as well. A load of 5,000 digits broke off the answer that carried it.

Change: integers have at most 53 bits, times are finite, names are printable, and whatever can't be read is answered 400. Names of workspaces are sent as UTF-8. Loads of over nine digits count as none.

--- a/gentianworks/platform/configuration.py
+++ b/gentianworks/platform/configuration.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 import zlib
 from base64 import b85decode, b85encode
 from typing import Any
@@ -22,6 +23,7 @@
 
 COMPRESSION_LEVEL = 6
 MAX_DOCUMENT_BYTES = 16 * 1024 * 1024  # four times the operators' largest document
+MAX_INTEGER = 2**53  # what all JSON parsers keep exactly
 KIND_SAFE = "safe"
 KIND_STREAMING = "streaming"
 ROUTE_KINDS = frozenset({KIND_SAFE, "unsafe", KIND_STREAMING})
@@ -56,7 +58,14 @@
             ),
             limits=_decode_limits(document["limits"]),
         )
-    except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
+    except (
+        ValueError,
+        KeyError,
+        TypeError,
+        AttributeError,
+        RecursionError,
+        OverflowError,
+    ) as error:
         raise DocumentError(
             f"The configuration can't be read ({error!r}); send a complete document."
         ) from error
@@ -65,7 +74,31 @@
 def _read_version(value: Any) -> int:
     if isinstance(value, bool) or not isinstance(value, int) or value < 0:
         raise ValueError(f"version is {value!r}, not a non-negative integer")
-    return value
+    return _read_integer(value)
+
+
+def _read_integer(value: Any) -> int:
+    """Return an integer that fits into messages between processes."""
+    number = int(value)
+    if abs(number) > MAX_INTEGER:
+        raise ValueError(f"an integer of {number.bit_length()} bits is too large")
+    return number
+
+
+def _read_milliseconds(value: Any) -> float:
+    """Return a finite time in seconds."""
+    seconds = float(value) / 1000
+    if not math.isfinite(seconds):
+        raise ValueError(f"a time of {value!r} ms is not finite")
+    return seconds
+
+
+def _read_text(value: Any) -> str:
+    """Return a text that can be sent in a header."""
+    text = str(value)
+    if not text.isprintable():
+        raise ValueError(f"{text!r} has characters that can't be sent")
+    return text
 
 
 def _decode_route(item: dict[str, Any]) -> Route:
@@ -73,27 +106,28 @@
     if kind not in ROUTE_KINDS:
         raise ValueError(f"kind is {kind!r}, not one of {sorted(ROUTE_KINDS)}")
     return Route(
-        name=str(item["name"]),
-        host=str(item["host"]).lower(),
-        path_prefix=str(item["pathPrefix"]),
+        name=_read_text(item["name"]),
+        host=_read_text(item["host"]).lower(),
+        path_prefix=_read_text(item["pathPrefix"]),
         shares=_decode_shares(item),
         retry_policy=_decode_retry_policy(kind, bool(item.get("resumeStreams", False))),
         is_stream=kind == KIND_STREAMING,
-        timeout=float(item["timeoutMs"]) / 1000,
-        latency_objective=float(item.get("targetLatencyMs", 0)) / 1000,
-        rank=int(item.get("priority", 0)),
-        max_attempts=max(1, int(item.get("maxAttempts", 1))),
+        timeout=_read_milliseconds(item["timeoutMs"]),
+        latency_objective=_read_milliseconds(item.get("targetLatencyMs", 0)),
+        rank=_read_integer(item.get("priority", 0)),
+        max_attempts=max(1, _read_integer(item.get("maxAttempts", 1))),
         allows_anonymous=bool(item.get("allowAnonymous", False)),
-        gap_objective=float(item.get("gapAimMs") or 0) / 1000,
+        gap_objective=_read_milliseconds(item.get("gapAimMs") or 0),
     )
 
 
 def _decode_shares(item: dict[str, Any]) -> tuple[TrafficShare, ...]:
     split = item.get("trafficSplit")
     if split is None:
-        return (TrafficShare(str(item["service"])),)
+        return (TrafficShare(_read_text(item["service"])),)
     return tuple(
-        TrafficShare(str(part["service"]), int(part["weight"])) for part in split
+        TrafficShare(_read_text(part["service"]), _read_integer(part["weight"]))
+        for part in split
     )
 
 
@@ -108,14 +142,16 @@
 def _decode_service(item: dict[str, Any]) -> GatewayService:
     engine = item.get("engine")
     capacity = (
-        EngineCapacity(int(engine["slots"]), int(engine["kvCapacity"]))
+        EngineCapacity(
+            _read_integer(engine["slots"]), _read_integer(engine["kvCapacity"])
+        )
         if engine
         else None
     )
     return GatewayService(
-        name=str(item["name"]),
-        health_path=str(item.get("healthPath", "")),
-        max_connections=int(item.get("maxConnections", 0)),
+        name=_read_text(item["name"]),
+        health_path=_read_text(item.get("healthPath", "")),
+        max_connections=_read_integer(item.get("maxConnections", 0)),
         engine=capacity,
     )
 
@@ -123,16 +159,16 @@
 def _decode_workspace(item: dict[str, Any]) -> WorkspaceKeys:
     rank = item.get("priority")
     return WorkspaceKeys(
-        name=str(item["name"]),
+        name=_read_text(item["name"]),
         key_digests=tuple(digest_key(str(key)) for key in item["apiKeys"]),
-        rank=None if rank is None else int(rank),
+        rank=None if rank is None else _read_integer(rank),
     )
 
 
 def _decode_limits(item: dict[str, Any]) -> RequestLimits:
     return RequestLimits(
-        header_bytes=int(item["maxHeaderBytes"]),
-        body_bytes=int(item["maxBodyBytes"]),
-        header_timeout=float(item["headerTimeoutMs"]) / 1000,
-        idle_timeout=float(item["idleTimeoutMs"]) / 1000,
+        header_bytes=_read_integer(item["maxHeaderBytes"]),
+        body_bytes=_read_integer(item["maxBodyBytes"]),
+        header_timeout=_read_milliseconds(item["headerTimeoutMs"]),
+        idle_timeout=_read_milliseconds(item["idleTimeoutMs"]),
     )
--- a/gentianworks/platform/replicas.py
+++ b/gentianworks/platform/replicas.py
@@ -45,6 +45,7 @@
 LEAST_URGENT_PRIORITY = 9
 STATUS_OTHER_REPLICA = 421
 MIN_REFUSAL_STATUS = 400
+MAX_COUNT_DIGITS = 9
 REPLICA_FAILURES = {
     ConnectionFailure.NOT_SENT: ReplicaFailure.NOT_SENT,
     ConnectionFailure.CUT: ReplicaFailure.CUT,
@@ -231,12 +232,16 @@
 
 
 def _read_load(text: str) -> tuple[int, int, int]:
-    parts = text.split(",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+    parts = [part.strip() for part in text.split(",")]
+    if len(parts) != 3 or not all(map(_is_count, parts)):
         return (-1, -1, 0)
     return (int(parts[0]), int(parts[1]), int(parts[2]))
 
 
+def _is_count(text: str) -> bool:
+    return text.isascii() and text.isdigit() and len(text) <= MAX_COUNT_DIGITS
+
+
 def encode_head(effect: CallReplica) -> RequestHead:
     """Return the request head of a call to a replica."""
     call = effect.call
@@ -249,16 +254,16 @@
             str(min(LEAST_URGENT_PRIORITY, max(0, effect.urgency))),
         ),
     ]
-    if effect.workspace:
-        headers.append((header_names.TENANT_ID, effect.workspace))
     if effect.resume_after >= 0:
         headers.append((header_names.LAST_EVENT_ID, str(effect.resume_after)))
     if effect.source is not None:
         headers.append((header_names.KV_FETCH, effect.source.address))
     if call.body or call.method not in {"GET", "HEAD", "DELETE"}:
         headers.append(("content-length", str(len(call.body))))
-    encoded = tuple((name.encode(), value.encode("latin-1")) for name, value in headers)
-    return RequestHead(call.method, call.path, encoded)
+    encoded = [(name.encode(), value.encode("latin-1")) for name, value in headers]
+    if effect.workspace:
+        encoded.append((header_names.TENANT_ID.encode(), effect.workspace.encode()))
+    return RequestHead(call.method, call.path, tuple(encoded))
 
 
 @perform.register
--- a/gentianworks/tests/test_platform_messages.py
+++ b/gentianworks/tests/test_platform_messages.py
@@ -137,6 +137,41 @@
             decode_table(json.dumps(change("version", version)).encode())
 
 
+class TestOddDocuments:
+    """A number or text that no message or header takes must not end a process."""
+
+    @pytest.mark.parametrize(
+        "value", [b"1e999", b"NaN", b"Infinity", b"9" * 400, b"9" * 5000]
+    )
+    @pytest.mark.parametrize("field", ["timeoutMs", "targetLatencyMs", "priority"])
+    def test_a_number_without_bound_is_rejected(self, field: str, value: bytes) -> None:
+        route = {**DOCUMENT["routes"][0], field: "@"}
+        body = json.dumps(change("routes", [route])).encode()
+        with pytest.raises(DocumentError):
+            decode_table(body.replace(b'"@"', value))
+
+    @pytest.mark.parametrize("version", [10**30, 10**400])
+    def test_a_version_that_no_message_takes_is_rejected(self, version: int) -> None:
+        with pytest.raises(DocumentError):
+            decode_table(json.dumps(change("version", version)).encode())
+
+    @pytest.mark.parametrize("name", ["a\r\nx: y", "\ud800", "\0"])
+    def test_a_name_that_no_header_takes_is_rejected(self, name: str) -> None:
+        tenants = [{"name": name, "apiKeys": ["k"]}]
+        with pytest.raises(DocumentError):
+            decode_table(json.dumps(change("tenants", tenants)).encode())
+
+    def test_a_name_in_any_script_reaches_the_replica(self) -> None:
+        (replica,) = build_replicas("engines", 1, 4)
+        effect = CallReplica("x", "a", replica, CALL, 1.0, workspace="Tŷ Ŵyn")
+        assert dict(encode_head(effect).headers)[b"tenant-id"] == "Tŷ Ŵyn".encode()
+
+    @pytest.mark.parametrize("load", ["9" * 5000 + ",1,8", "²,1,8", "-1,0,8", ""])
+    def test_a_load_that_is_no_number_is_ignored(self, load: str) -> None:
+        answer = decode_answer(200, (), {"instance-load": load})
+        assert (answer.running, answer.waiting, answer.slots) == (-1, -1, 0)
+
+
 class TestListing:
     ENTRY = {
         "id": "i-1",
