Count crashes of calls that were served before, and under clocks that step back

Found by reading the quarantine as a newcomer. A call without a prompt, such as a lookup that many callers repeat, had no memory of having been served and was accused by two crashes; its fingerprint is remembered like a part now. Crashes were compared with the clock of the control host that counts them, so where the next leader's clock is behind, none would have counted until it caught up. A leader asks seeds that are out of contact each 2 s instead of 0.5 s.

TestCalls and TestClocks fail on the code before.

--- a/gentianworks/core/gateway/crash_tracker.py
+++ b/gentianworks/core/gateway/crash_tracker.py
@@ -20,7 +20,7 @@
 from gentianworks.core.types import ExchangeId
 
 REPEAT_INTERVAL = 1.0  # seconds between equal messages that nobody acknowledges
-MAX_SERVED_PARTS = 4096
+MAX_SERVED = 4096  # fingerprints
 
 
 @define
@@ -51,17 +51,17 @@
 class CrashTracker:
     """A router's lost calls, its reports of them, and the suspects that it knows.
 
-    `served_parts` are the prompt parts of calls whose answers began, the latest last.
+    `served` are the fingerprints of calls whose answers began, the latest last.
     `reported_at` maps what was reported of a suspect, and its crashes at that time, to
-    the time of the report in seconds.
-    `trials` maps a fingerprint to the trial that this router has begun, and
-    `held_calls` maps one to the call that waits for the answer on its trial.
+    the time of the report in seconds. `trials` maps a fingerprint to the trial that
+    this router has begun, and `held_calls` maps one to the call that waits for the
+    answer on its trial.
     """
 
     lost_calls: dict[ReplicaName, LostCalls] = field(factory=dict)
     pending_reports: dict[str, PendingReport] = field(factory=dict)
     suspects: KnownReplicaSuspects = field(factory=KnownReplicaSuspects)
-    served_parts: dict[Fingerprint, None] = field(factory=dict)
+    served: dict[Fingerprint, None] = field(factory=dict)
     reported_at: dict[tuple[str, Fingerprint, int], float] = field(factory=dict)
     trials: dict[Fingerprint, BegunTrial] = field(factory=dict)
     held_calls: dict[Fingerprint, ExchangeId] = field(factory=dict)
@@ -74,14 +74,19 @@
         self.reported_at[key] = now
         return True
 
-    def record_served_parts(self, call: Call) -> None:
-        """Record the shared parts of a call whose answer has begun."""
-        for digest in call.list_shared_parts():
-            fingerprint = _identify_part(digest)
-            self.served_parts.pop(fingerprint, None)
-            self.served_parts[fingerprint] = None
-        while len(self.served_parts) > MAX_SERVED_PARTS:
-            del self.served_parts[next(iter(self.served_parts))]
+    def record_served(self, call: Call) -> None:
+        """Record what a call whose answer has begun has in common with others.
+
+        Calls with a prompt share its parts, any other is repeated as a whole.
+        """
+        fingerprints = [_identify_part(item) for item in call.list_shared_parts()]
+        if not call.prompt:
+            fingerprints.append(identify_call(call).fingerprint)
+        for fingerprint in fingerprints:
+            self.served.pop(fingerprint, None)
+            self.served[fingerprint] = None
+        while len(self.served) > MAX_SERVED:
+            del self.served[next(iter(self.served))]
 
     def update_suspects(self, event: ReplicaSuspectsChanged) -> bool:
         """Replace the suspects and return True, unless the list is no newer."""
--- a/gentianworks/core/gateway/crashes.py
+++ b/gentianworks/core/gateway/crashes.py
@@ -132,7 +132,7 @@
     call: Call, tracker: CrashTracker, state: State, now: float
 ) -> list[Effect]:
     """Record a call whose answer has begun, and report that it clears suspects."""
-    tracker.record_served_parts(call)
+    tracker.record_served(call)
     suspects = tracker.suspects
     if suspects.is_empty():
         return []
@@ -156,7 +156,7 @@
     known = tuple(
         item
         for item in suspects
-        if item in tracker.served_parts and tracker.may_report("served", item, now)
+        if item in tracker.served and tracker.may_report("served", item, now)
     )
     if not known:
         return []
--- a/gentianworks/core/quarantine/replica_suspects.py
+++ b/gentianworks/core/quarantine/replica_suspects.py
@@ -14,10 +14,8 @@
 from gentianworks.core.types import ServiceName
 
 MIN_CRASHES = 2
-MIN_CRASHES_OF_SERVED = 4  # of a part whose calls had been served before
-# Seconds from the first crash to the last, in which sound calls would have cleared the
-# part.
-MIN_EVIDENCE_TIME = 1.0
+MIN_CRASHES_OF_SERVED = 4  # of a call or part that had been served before
+MIN_EVIDENCE_TIME = 1.0  # seconds; sound calls that are served in it clear a suspect
 INCIDENT_TIME = 2.0  # seconds; routers report one crash within it
 # Seconds; replicas that crash within it have a common cause, unless a call was sent to
 # one after it had been lost at another.
@@ -49,10 +47,10 @@
 class ReplicaSuspect:
     """Crashes of replicas that lost calls with a fingerprint.
 
-    `crashes` are those since a call was served last. `is_part` tells a prompt part,
-    which several calls share, from a whole call. Of such a part, `calls` are the first
-    calls that were lost with it, and `was_served` is set if calls with it had been
-    served before. Times are in seconds since the epoch.
+    `crashes` are those since a call was served last, and `was_served` is set if one had
+    been served before. `is_part` tells a prompt part, which several calls share, from a
+    whole call; of a part, `calls` are the first calls that were lost with it. Times are
+    in seconds since the epoch.
     """
 
     fingerprint: Fingerprint
@@ -77,17 +75,17 @@
         A call that was lost twice does not accuse its parts: they need a second call,
         since any call may be at two replicas that crash.
         """
-        if not self.is_part:
-            return self.crashes >= MIN_CRASHES
-        if len(self.calls) < MAX_TRACKED_CALLS:
+        if self.is_part and len(self.calls) < MAX_TRACKED_CALLS:
             return False
-        if not self.was_served:
-            return self.crashes >= MIN_CRASHES
-        return self.crashes >= MIN_CRASHES_OF_SERVED and self.has_lasting_evidence()
+        if self.was_served:
+            is_often = self.crashes >= MIN_CRASHES_OF_SERVED
+            return is_often and self.has_lasting_evidence()
+        return self.crashes >= MIN_CRASHES
 
     def has_lasting_evidence(self) -> bool:
         """Return whether the crashes lasted for long enough to be cleared meanwhile."""
-        return self.crashed_at - self.first_crashed_at >= MIN_EVIDENCE_TIME
+        time = _compute_elapsed_time(self.first_crashed_at, self.crashed_at)
+        return time >= MIN_EVIDENCE_TIME
 
     def expires_at(self) -> float:
         """Return when the suspect is forgotten, in seconds since the epoch."""
@@ -254,7 +252,7 @@
 
     def _identify_incident(self, replica: str, now: float) -> str:
         first_at = self.incidents.get(replica)
-        if first_at is None or now - first_at > INCIDENT_TIME:
+        if first_at is None or _compute_elapsed_time(first_at, now) > INCIDENT_TIME:
             first_at = self.incidents[replica] = now
         return f"{replica}/{first_at:.3f}"
 
@@ -274,7 +272,8 @@
         if is_part and call.fingerprint not in calls:
             calls = (*calls, call.fingerprint)[:MAX_TRACKED_CALLS]
         counted = evolve(known, calls=calls)
-        is_later = crashed_at - known.crashed_at > SIMULTANEOUS_TIME
+        time = _compute_elapsed_time(known.crashed_at, crashed_at)
+        is_later = time > SIMULTANEOUS_TIME
         is_new = known.last_incident != incident
         if is_new and (is_later or call.was_lost_before):
             counted = evolve(
@@ -302,10 +301,18 @@
                 del self.suspects[fingerprint]
                 self.version += suspect.is_quarantined
         for replica, crashed_at in list(self.incidents.items()):
-            if now - crashed_at > INCIDENT_TIME:
+            if _compute_elapsed_time(crashed_at, now) > INCIDENT_TIME:
                 del self.incidents[replica]
 
 
+def _compute_elapsed_time(earlier: float, later: float) -> float:
+    """Return the time between two commands, in seconds.
+
+    A later command may be dated earlier by the clock of another control host.
+    """
+    return abs(later - earlier)
+
+
 @define
 class KnownReplicaSuspects:
     """Replica suspects that a router last received from a control host."""
--- a/gentianworks/core/replication/formation.py
+++ b/gentianworks/core/replication/formation.py
@@ -26,6 +26,7 @@
 from gentianworks.core.state import State
 
 PROBE_INTERVAL = 0.5  # seconds
+ABSENT_SEED_INTERVAL = 2.0  # seconds; a seed may be gone for good
 CAUGHT_UP_TIMEOUT = 1.0  # seconds
 VOTER_TIMEOUT = 1.5  # seconds; six heartbeats, as for an election
 LEARNER_TIMEOUT = 5.0  # seconds; a learner may be loading a snapshot
@@ -37,7 +38,9 @@
     replication = get_replication(state)
     if now < replication.next_probe_at or not _needs_probe(state, now):
         return []
-    replication.next_probe_at = now + PROBE_INTERVAL
+    is_leader = replication.is_leader
+    interval = ABSENT_SEED_INTERVAL if is_leader else PROBE_INTERVAL
+    replication.next_probe_at = now + interval
     request = FormationRequest(
         sender=state.node.name,
         host=replication.host,
--- a/gentianworks/tests/test_gateway_crashes.py
+++ b/gentianworks/tests/test_gateway_crashes.py
@@ -184,6 +184,17 @@
         found = list_messages(reduce(notice, state, NOW), SuspectsServed)
         assert found == [SuspectsServed("router-1", ("part/aa",), False)]
 
+    def test_a_call_without_a_prompt_that_was_served_before_is_reported(self) -> None:
+        state = build_router()
+        call = evolve(build_call(1, ()), path="/read/1")
+        sent = get_effect(CallReplica, send(state, call))
+        answer_call(sent, state)
+        reduce(ReplicaAnswerPiece(sent.attempt, b"x"), state, NOW)
+        fingerprint = identify_call(call).fingerprint
+        notice = ReplicaSuspectsChanged("control-1", 1, (), {fingerprint: 1})
+        found = list_messages(reduce(notice, state, NOW), SuspectsServed)
+        assert found == [SuspectsServed("router-1", (fingerprint,), False)]
+
     def test_an_older_list_is_ignored(self) -> None:
         state = build_router()
         quarantine(state)
--- a/gentianworks/tests/test_replica_suspects.py
+++ b/gentianworks/tests/test_replica_suspects.py
@@ -103,6 +103,23 @@
             assert crash(registry, number, at, lose_call(f"{number}", "x")) == []
 
 
+class TestCalls:
+    def test_a_call_that_was_served_before_takes_more_crashes(self) -> None:
+        registry = ReplicaSuspectRegistry()
+        crash(registry, 0, NOW, lose_call("a"))
+        registry.record_served(("call/a",), is_since_crash=False, now=NOW)
+        for number in range(1, MIN_CRASHES_OF_SERVED - 1):
+            assert crash(registry, number, NOW + number, lose_call("a")) == []
+        assert crash(registry, 9, NOW + 9, lose_call("a")) == ["call/a"]
+
+
+class TestClocks:
+    def test_crashes_count_where_the_next_leaders_clock_is_behind(self) -> None:
+        registry = ReplicaSuspectRegistry()
+        crash(registry, 1, NOW, lose_call("a"))
+        assert crash(registry, 1, NOW - 2400.0, lose_call("a")) == ["call/a"]
+
+
 class TestCrashes:
     def test_reports_of_several_routers_count_as_one_crash(self) -> None:
         registry = ReplicaSuspectRegistry()
