--- a/gentianworks/core/replication/formation.py
+++ b/gentianworks/core/replication/formation.py
@@ -191,7 +191,7 @@
 
 
 def _list_founders(own: ControlMember, state: State) -> tuple[ControlMember, ...]:
-    """Return the first members of the group, that which forms it first."""
+    """Return the first members of the group; the first of them forms it."""
     seeds = _list_empty_seeds(state)
     if seeds is None:
         return ()
