Tell seeds without a disk of the group as soon as a leader is elected

Cause: the seeds had been exchanged for three hosts without a disk, which forget the group when they restart, and routers that restart know nobody else. The new leader asks seeds that are out of contact, but counts its election as contact, so it asked them after 5 s.

Evidence: GW2006 of all three seeds at 40.7 s, 5 s after GW2001; routers have their tables then.

Change: a seed counts as present once it has answered the leader since its election; a leader of the last 10 s asks each 0.5 s; a host that is in no group tells routers the control hosts that have asked it.

--- a/gentianworks/core/membership/heartbeats.py
+++ b/gentianworks/core/membership/heartbeats.py
@@ -256,7 +256,8 @@
     replication = state.control.replication
     if replication is None or not state.discovers_control_hosts:
         return ()
-    return tuple(item.peer_address for item in replication.membership.members)
+    members = tuple(item.peer_address for item in replication.membership.members)
+    return members or tuple(replication.discovered_addresses)
 
 
 def _list_service_loads(
--- a/gentianworks/core/replication/formation.py
+++ b/gentianworks/core/replication/formation.py
@@ -27,6 +27,7 @@
 
 PROBE_INTERVAL = 0.5  # seconds
 ABSENT_SEED_INTERVAL = 2.0  # seconds; a seed may be gone for good
+SETTLING_TIME = 10.0  # seconds; hosts that restarted with the leader are back
 CAUGHT_UP_TIMEOUT = 1.0  # seconds
 VOTER_TIMEOUT = 1.5  # seconds; six heartbeats, as for an election
 LEARNER_TIMEOUT = 5.0  # seconds; a learner may be loading a snapshot
@@ -38,8 +39,9 @@
     replication = get_replication(state)
     if now < replication.next_probe_at or not _needs_probe(state, now):
         return []
-    is_leader = replication.is_leader
-    interval = ABSENT_SEED_INTERVAL if is_leader else PROBE_INTERVAL
+    is_settled = now - replication.leading_since > SETTLING_TIME
+    is_patient = replication.is_leader and is_settled
+    interval = ABSENT_SEED_INTERVAL if is_patient else PROBE_INTERVAL
     replication.next_probe_at = now + interval
     request = FormationRequest(
         sender=state.node.name,
@@ -235,7 +237,8 @@
 def _list_absent_seeds(state: State, now: float) -> list[str]:
     """Return the hosts in the settings that are not in contact with this leader.
 
-    One that lost its data, along with all others in the settings, knows no member.
+    One that lost its data, along with all others in the settings, knows no member, and
+    routers that restarted know no other host.
     """
     if not state.discovers_control_hosts:
         return []
@@ -243,11 +246,18 @@
     present = {
         peer.peer_address
         for peer in replication.list_peers()
-        if not is_unresponsive(peer, replication, now)
+        if _has_answered(peer, replication)
+        and not is_unresponsive(peer, replication, now)
     }
     return [item for item in _list_other_addresses(state) if item not in present]
 
 
+def _has_answered(peer: ControlMember, replication: Replication) -> bool:
+    """Return whether a peer has answered this leader since its election."""
+    progress = replication.peer_progress.get(peer.host)
+    return progress is not None and progress.acked_round > 0
+
+
 def _list_probe_addresses(state: State, now: float) -> list[str]:
     replication = get_replication(state)
     if replication.is_leader:
--- a/gentianworks/tests/test_found_hosts.py
+++ b/gentianworks/tests/test_found_hosts.py
@@ -7,6 +7,7 @@
 from gentianworks.core.events.membership import ControlHostsTold, HeartbeatAnswer
 from gentianworks.core.handlers import reduce
 from gentianworks.core.membership.heartbeats import send_heartbeat
+from gentianworks.core.replication.formation import LEARNER_TIMEOUT
 from gentianworks.core.replication.members import (
     ControlMember,
     DiscoveredHostsPolicy,
@@ -95,17 +96,24 @@
     return [item for item in effects if isinstance(item, SendMessage)]
 
 
+def build_router(seeds: list[str]) -> State:
+    """Return a router that knows only its seeds."""
+    node = Node("router-1", Role.ROUTER, "r", "a", "tcp://10.9.9.9:1", "")
+    return State(
+        node=node, control_addresses=tuple(seeds), discovers_control_hosts=True
+    )
+
+
 class TestRouters:
     def build_router(self, group: SimulatedGroup) -> State:
         """Return a router whose seeds do not include the leader."""
-        seeds = [
-            host.address
-            for number, host in enumerate(group.hosts)
-            if number != get_leader(group)
-        ]
-        node = Node("router-1", Role.ROUTER, "r", "a", "tcp://10.9.9.9:1", "")
-        return State(
-            node=node, control_addresses=tuple(seeds), discovers_control_hosts=True
+        leader = get_leader(group)
+        return build_router(
+            [
+                host.address
+                for number, host in enumerate(group.hosts)
+                if number != leader
+            ]
         )
 
     def test_a_router_discovers_a_leader_that_is_not_a_seed(self) -> None:
@@ -172,6 +180,30 @@
         group.recover()
         assert item in group.applied_items
 
+    def test_seeds_without_a_disk_tell_routers_of_the_group_soon_after_a_restart(
+        self,
+    ) -> None:
+        group = form_diskless_group({0, 1, 2})
+        for number in range(group.size):
+            group.crash(number)
+        group.run(1.0)
+        for number in range(group.size):
+            group.start(number)
+        wait_for_leader(group)
+        group.run(LEARNER_TIMEOUT / 2)
+        leader = group.hosts[get_leader(group)].address
+        router = build_router([host.address for host in group.hosts[:3]])
+        requests = list_sends(send_heartbeat(router, group.now))
+        assert len(requests) == 3
+        for seed, request in zip(group.hosts, requests, strict=False):
+            sends = list_sends(reduce(request.message, seed.state, group.now))
+            told = [
+                item.message.peer_addresses
+                for item in sends
+                if isinstance(item.message, ControlHostsTold)
+            ]
+            assert leader in told[0]
+
 
 def form_diskless_group(diskless: set[int], seed: int = 1) -> SimulatedGroup:
     """Return a group of six hosts of which some have no disk."""
