Let every control host tell routers what crashes replicas

Cause: the quarantine reaches a router with the leader's push or its answer to a heartbeat. The router on the machine of the former leader was cut off from the new one from 3.6 s on. The call was quarantined at 4.860 s (GW3005), came to that router at 4.873 s and crashed two replicas there; its caller's repeats at that router crashed three more at 9.29, 9.94 and 10.93 s. Each of the last three lost dozens of sound calls twice, which were then quarantined too. The router could reach control hosts that had applied the quarantine, but those answer a heartbeat with addresses alone. Class of the fault: knowledge that only the leader tells.

Ruled out: a count that is missing while no host leads (the count came 19 ms after the second crash); load (each of the five later crashes has the same call at the same router); another deadly call (one pair of parts and one workspace in all).

Change: a control host that does not lead answers a heartbeat with the suspects that the node lacks, as the leader does. The same holds for the suspects of the product's agents, which had the same gap.

--- a/gentianworks/core/membership/heartbeats.py
+++ b/gentianworks/core/membership/heartbeats.py
@@ -200,7 +200,8 @@
     roster = state.roster
     if not is_leading(state, now) or not roster.epoch:
         hosts = _send_control_hosts(event, state)
-        return [*sums, *hosts, *announce_fall(event.endpoint, state, now)]
+        announced = announce_fall(event.endpoint, state, now)
+        return [*sums, *hosts, *announced, *_send_suspects(event, state)]
     roster.record_heartbeat(event, state.configuration, now)
     if not event.endpoint:
         state.router_heartbeats[event.peer_address] = now
@@ -227,9 +228,16 @@
         *sums,
         SendMessage(event.peer_address, answer),
         *announce_fall(event.endpoint, state, now),
+        *_send_suspects(event, state),
+        *send_due_order(event, state, now),
+    ]
+
+
+def _send_suspects(event: Heartbeat, state: State) -> list[Effect]:
+    """Send a node what it lacks of the suspects; it may not reach the leader."""
+    return [
         *send_newer_suspects(event, state),
         *send_newer_replica_suspects(event, state),
-        *send_due_order(event, state, now),
     ]
 
 
--- a/properties/crashing_fleet.py
+++ b/properties/crashing_fleet.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from attrs import define, evolve, field, frozen
 
 from gentianworks.core.effects.base import Effect
@@ -67,6 +69,7 @@
     calls_per_second: float = 40.0
     deadly_share: float = 0.05
     has_deadly_part: bool = True  # False: one whole call is deadly
+    deadly_router: int | None = None  # the only one that clients send deadly calls to
     crash_times: list[float] = field(factory=list)
     deadly_sends: list[float] = field(factory=list)
     outcomes: CallOutcomes = field(factory=CallOutcomes)
@@ -139,10 +142,19 @@
     def send_call(self, call: Call, retries: int) -> None:
         """Send a client's call to a router."""
         router = self.size + self.rng.randrange(self.router_count)
+        if self.deadly_router is not None and self.is_deadly(call):
+            router = self.deadly_router
         exchange = f"{call.request_id}/{retries}"
         self.calls[exchange] = call
         self._handle(router, CallArrived(exchange, call))
 
+    def cut_router(self, router: int, hosts: Iterable[int]) -> None:
+        """Cut the links between a router and some hosts, in both directions."""
+        own = self.hosts[router].address
+        for number in hosts:
+            other = self.hosts[number].address
+            self.cut_links |= {(own, other), (other, own)}
+
     def crash_replica(self, name: ReplicaName) -> None:
         """End a replica and cut off its calls; it starts again under another name."""
         calls = self.running.pop(name, None)
--- a/properties/test_crashing_parts.py
+++ b/properties/test_crashing_parts.py
@@ -17,6 +17,7 @@
 MAX_LATE_SENDS = 3
 MIN_SERVED_SHARE = 0.5  # of sound calls
 WARM_UP_TIME = 3.0  # seconds
+MAX_DETECTION_TIME = 2.0  # seconds in which a router finds that no leader answers
 
 
 def start_fleet(seed: int, **changes: object) -> CrashingFleet:
@@ -76,6 +77,19 @@
         fleet.play(PLAY_TIME)
         assert_quarantined(fleet)
 
+    def test_a_router_that_the_leader_does_not_reach_stops_crashing_replicas(
+        self, seed: int
+    ) -> None:
+        fleet = start_fleet(seed, has_deadly_part=False)
+        serve_sound_calls(fleet)
+        leader = fleet.find_leader()
+        assert leader is not None
+        fleet.cut_router(fleet.size, [leader])
+        fleet.play(MAX_DETECTION_TIME)
+        fleet.deadly_router = fleet.size
+        fleet.play(PLAY_TIME)
+        assert_quarantined(fleet)
+
     def test_replicas_that_crash_for_other_reasons_quarantine_nothing(
         self, seed: int
     ) -> None:
