Refuse a call whose crashes no control host has counted

Cause: a router sends what it has lost to the control hosts and forgets it; only their verdict makes it refuse a call. One that reaches none, or that loses a call twice before the first crash is counted, goes on.

Change: a router keeps each crash that it reported until a control host has acknowledged it, for the delay of a first trial at most (20 s), and refuses a call that it lost in two of them. Calls that it had served before are left to the stricter count of the control hosts. Parts are left to them too: two calls of one router are too few to accuse a part.

--- a/gentianworks/core/gateway/crash_tracker.py
+++ b/gentianworks/core/gateway/crash_tracker.py
@@ -12,6 +12,8 @@
 from gentianworks.core.gateway.replicas import Replica, ReplicaName
 from gentianworks.core.quarantine.fingerprints import digest_parts
 from gentianworks.core.quarantine.replica_suspects import (
+    SIMULTANEOUS_TIME,
+    TRIAL_DELAY,
     KnownReplicaSuspects,
     LostCall,
     ReplicaSuspect,
@@ -21,6 +23,7 @@
 
 REPEAT_INTERVAL = 1.0  # seconds between equal messages that nobody acknowledges
 MAX_SERVED = 4096  # fingerprints
+MAX_UNCOUNTED_CRASHES = 64
 
 
 @define
@@ -39,6 +42,19 @@
     send_count: int = 0
 
 
+@frozen
+class UncountedCrash:
+    """Crash that no control host has counted yet, at a time in seconds."""
+
+    at: float
+    calls: tuple[LostCall, ...]
+
+    def find_call(self, fingerprint: Fingerprint) -> LostCall | None:
+        """Return a lost call with a fingerprint, or None."""
+        matching = (item for item in self.calls if item.fingerprint == fingerprint)
+        return next(matching, None)
+
+
 @frozen
 class BegunTrial:
     """Trial of a quarantined suspect, by its number, and the call that is sent."""
@@ -65,6 +81,34 @@
     reported_at: dict[tuple[str, Fingerprint, int], float] = field(factory=dict)
     trials: dict[Fingerprint, BegunTrial] = field(factory=dict)
     held_calls: dict[Fingerprint, ExchangeId] = field(factory=dict)
+    # By report; a router that is cut off goes by them.
+    uncounted_crashes: dict[str, UncountedCrash] = field(factory=dict)
+
+    def record_own_crash(self, report: ReplicaCrashReported, now: float) -> None:
+        """Record a crash until a control host has counted it."""
+        crash = UncountedCrash(now, report.calls)
+        self.uncounted_crashes[report.report] = crash
+        while len(self.uncounted_crashes) > MAX_UNCOUNTED_CRASHES:
+            del self.uncounted_crashes[next(iter(self.uncounted_crashes))]
+
+    def count_own_crashes(self, fingerprint: Fingerprint, now: float) -> int:
+        """Return how many crashes that nobody has counted lost a call.
+
+        Replicas that crash at the same moment count once, unless the call was sent to
+        one after the other.
+        """
+        count, last_at = 0, float("-inf")
+        for report, crash in list(self.uncounted_crashes.items()):
+            if now - crash.at > TRIAL_DELAY:
+                del self.uncounted_crashes[report]
+                continue
+            call = crash.find_call(fingerprint)
+            if call is None:
+                continue
+            is_later = crash.at - last_at > SIMULTANEOUS_TIME
+            count += is_later or call.was_lost_before
+            last_at = crash.at
+        return count
 
     def may_report(self, what: str, fingerprint: Fingerprint, now: float) -> bool:
         """Return whether a report is not a repetition, and record it."""
--- a/gentianworks/core/gateway/crashes.py
+++ b/gentianworks/core/gateway/crashes.py
@@ -32,7 +32,11 @@
 )
 from gentianworks.core.gateway.replicas import Replica
 from gentianworks.core.gateway.state import GatewayExchange
-from gentianworks.core.quarantine.replica_suspects import TRIAL_DELAY, ReplicaSuspect
+from gentianworks.core.quarantine.replica_suspects import (
+    MIN_CRASHES,
+    TRIAL_DELAY,
+    ReplicaSuspect,
+)
 from gentianworks.core.reducer import reduce
 from gentianworks.core.replication.control_hosts import send_to_control
 from gentianworks.core.state import State
@@ -86,6 +90,7 @@
     )
     pending = PendingReport(report)
     gateway.crashes.pending_reports[report.report] = pending
+    gateway.crashes.record_own_crash(report, now)
     details = (
         ("replica", lost.replica.name),
         ("address", lost.replica.address),
@@ -125,6 +130,7 @@
 def _(event: ReplicaCrashAcknowledged, state: State, now: float) -> list[Effect]:
     if state.gateway is not None:
         state.gateway.crashes.pending_reports.pop(event.report, None)
+        state.gateway.crashes.uncounted_crashes.pop(event.report, None)
     return []
 
 
@@ -188,7 +194,7 @@
     call = exchange.call
     quarantined = tracker.find_quarantined(call)
     if not quarantined:
-        return QuarantineCheck()
+        return _check_own_crashes(call, tracker, now)
     suspect, own = quarantined[0], state.node.peer_address
     refusal = QuarantineCheck(describe_quarantine(suspect))
     if len(quarantined) > 1 or exchange.was_lost:
@@ -205,6 +211,20 @@
     return QuarantineCheck(effects=(*sent, timer), is_held=True)
 
 
+def _check_own_crashes(
+    call: Call, tracker: CrashTracker, now: float
+) -> QuarantineCheck:
+    """Refuse a call that this router lost in crashes that no control host counts."""
+    if not tracker.uncounted_crashes:
+        return QuarantineCheck()
+    fingerprint = identify_call(call).fingerprint
+    crashes = tracker.count_own_crashes(fingerprint, now)
+    if crashes < MIN_CRASHES or fingerprint in tracker.served:
+        return QuarantineCheck()
+    suspect = ReplicaSuspect(fingerprint, "", is_part=False, crashes=crashes)
+    return QuarantineCheck(describe_quarantine(suspect))
+
+
 def describe_quarantine(
     suspect: ReplicaSuspect, run_state: RunState = RunState.NOT_RUN
 ) -> Problem:
--- a/gentianworks/tests/test_gateway_crashes.py
+++ b/gentianworks/tests/test_gateway_crashes.py
@@ -36,7 +36,7 @@
 from gentianworks.core.gateway.crash_tracker import REPEAT_INTERVAL, identify_call
 from gentianworks.core.gateway.crashes import MAX_REPORT_SENDS, TRIAL_WAIT
 from gentianworks.core.handlers import reduce
-from gentianworks.core.quarantine.replica_suspects import ReplicaSuspect
+from gentianworks.core.quarantine.replica_suspects import TRIAL_DELAY, ReplicaSuspect
 from gentianworks.core.state import State
 from gentianworks.core.types import ProblemKind, RunState
 from gentianworks.platform.calls import encode_problem
@@ -158,6 +158,47 @@
         assert not get_gateway(state).crashes.pending_reports
 
 
+def lose_in_crashes(state: State, number: int, now: float = NOW) -> list[str]:
+    """Let a call crash both replicas, and return the ids of the reports."""
+    sent = get_effect(CallReplica, send(state, build_call(number), now))
+    again = get_effect(CallReplica, cut(sent, state, now))
+    cut(again, state, now)
+    reports = []
+    for name in (sent.replica.name, again.replica.name):
+        effects = reduce(ReplicaChecked(name, True), state, now)
+        (report,) = list_messages(effects, ReplicaCrashReported)
+        reports.append(report.report)
+    return reports
+
+
+class TestUncountedCrashes:
+    """A router that is cut off must not crash one replica after the other."""
+
+    def repeat_call(self, state: State, now: float) -> list[Effect]:
+        """Send the call that crashed the replicas again, under another id."""
+        return send(state, evolve(build_call(1), request_id=f"again-{now}"), now)
+
+    def test_a_call_lost_in_two_of_them_is_refused(self) -> None:
+        state = build_router()
+        lose_in_crashes(state, 1)
+        refused = get_effect(RefuseRequest, self.repeat_call(state, NOW + 4))
+        assert refused.problem.kind is ProblemKind.QUARANTINED
+        assert refused.problem.run_state is RunState.NOT_RUN
+        get_effect(CallReplica, send(state, build_call(2), NOW + 4))
+
+    def test_counted_ones_are_left_to_the_control_hosts(self) -> None:
+        state = build_router()
+        for report in lose_in_crashes(state, 1):
+            reduce(ReplicaCrashAcknowledged("control-1", report), state, NOW)
+        get_effect(CallReplica, self.repeat_call(state, NOW + 4))
+
+    def test_the_call_is_tried_again_later(self) -> None:
+        state = build_router()
+        lose_in_crashes(state, 1)
+        get_effect(CallReplica, self.repeat_call(state, NOW + TRIAL_DELAY + 1))
+        assert not get_gateway(state).crashes.uncounted_crashes
+
+
 class TestServedCalls:
     def test_a_call_that_is_served_clears_its_suspects_once(self) -> None:
         state = build_router()
--- a/properties/test_crashing_parts.py
+++ b/properties/test_crashing_parts.py
@@ -90,6 +90,16 @@
         fleet.play(PLAY_TIME)
         assert_quarantined(fleet)
 
+    def test_a_router_without_control_hosts_stops_crashing_replicas(
+        self, seed: int
+    ) -> None:
+        fleet = start_fleet(seed, has_deadly_part=False)
+        serve_sound_calls(fleet)
+        fleet.cut_router(fleet.size, range(fleet.size))
+        fleet.deadly_router = fleet.size
+        fleet.play(PLAY_TIME)
+        assert_quarantined(fleet)
+
     def test_replicas_that_crash_for_other_reasons_quarantine_nothing(
         self, seed: int
     ) -> None:
