Decode the limit of requests that a replica names

A replica in need names in each answer how many requests a second it takes from all routers together. Nothing read it, so the logs could not tell a replica that is sent too much from one whose limit is divided wrongly.

Nothing acts on it yet.

--- a/gentianworks/core/events/gateway.py
+++ b/gentianworks/core/events/gateway.py
@@ -4,12 +4,13 @@
 
 from enum import Enum
 
-from attrs import frozen
+from attrs import field, frozen
 
 from gentianworks.core.events.base import Event, Message
 from gentianworks.core.events.operators import OperatorRequest, ReadRequested
 from gentianworks.core.gateway.calls import Call
 from gentianworks.core.gateway.documents import RouteDocument
+from gentianworks.core.gateway.notices import ReplicaNotices
 from gentianworks.core.gateway.replicas import ListVersion, Replica, ReplicaName
 from gentianworks.core.gateway.route_table import RouteTable
 from gentianworks.core.types import AttemptId, ExchangeId, Header
@@ -73,6 +74,7 @@
     content_type: str = ""  # without parameters
     is_event_stream: bool = False
     defect: str = ""
+    notices: ReplicaNotices = field(factory=ReplicaNotices)
 
 
 @frozen
--- a/gentianworks/platform/header_names.py
+++ b/gentianworks/platform/header_names.py
@@ -25,6 +25,8 @@
 NOT_EXECUTED = "not-executed"
 # Numbers of running requests, waiting requests and slots, separated by commas.
 INSTANCE_LOAD = "instance-load"
+# Requests a second, a decimal number, that the replica takes from all routers together.
+SERVER_LIMIT = "server-limit"
 AUTHORIZATION = "authorization"
 BEARER = "Bearer "
 
--- a/gentianworks/platform/replicas.py
+++ b/gentianworks/platform/replicas.py
@@ -32,6 +32,7 @@
 from gentianworks.core.gateway.route_table import RetryPolicy
 from gentianworks.core.types import AttemptId, Header
 from gentianworks.platform import header_names
+from gentianworks.platform.notices import decode_notices
 from gentianworks.process import Process, perform
 from gentianworks.web.connections import (
     Connection,
@@ -228,6 +229,7 @@
         content_type=values.get("content-type", "").partition(";")[0].strip().lower(),
         is_event_stream=values.get("content-type", "").startswith(EVENT_STREAM),
         defect=defect,
+        notices=decode_notices(headers),
     )
 
 
