Keep all routers together to the limit that a replica names

Cause: routers know what they send, not what the others send, and a limit is one for all of them. Class of the fault: a bound of the whole fleet that each process would keep alone. The retry budget is of the same class and is divided evenly by the number of routers; a limit of 1.4 can't be, since no share is a whole request.

Change: routers report limits to the leading control host with their heartbeats. It lends each limit to as many routers as it has whole requests a second, and its answers carry the table of limits and shares. A router without a share sends the replica nothing; one with a share keeps a token bucket. The subjects of a replica that names its first limit move to others within 2 s, little by little.

Evidence: properties/test_replica_limits states the users' rule, with windows that slide.

--- a/gentianworks/core/events/membership.py
+++ b/gentianworks/core/events/membership.py
@@ -5,6 +5,7 @@
 from attrs import field, frozen
 
 from gentianworks.core.events.base import Event, Message
+from gentianworks.core.gateway.replica_limits import LentShare, ReportedLimit
 from gentianworks.core.gateway.replicas import ListVersion
 from gentianworks.core.types import (
     EndpointName,
@@ -35,7 +36,8 @@
     and `suspects_version` its list of suspects; `replica_suspects_version` that of what
     crashes replicas. With `asks_sum`, any control host
     responds with the load sum that it knows. `sent_at` is in seconds of the node's
-    clock.
+    clock. `limits` are the replicas' request limits that a router has learned, and
+    `limits_version` is its version of the leader's table of them.
     """
 
     endpoint: EndpointName
@@ -51,6 +53,8 @@
     ranks: tuple[RankLoad, ...] = ()
     sent_at: float = 0.0
     asks_sum: bool = False
+    limits: tuple[ReportedLimit, ...] = ()
+    limits_version: ListVersion = field(factory=ListVersion)
 
 
 @frozen
@@ -77,7 +81,8 @@
     control hosts. `endpoints` has the changes from `base_version` to `version` of the
     leader's `epoch`, oldest first and at most one page of them. `loads` has the sum
     over all regions for the service of the node's endpoint. `list_version` and
-    `list_age`, in seconds, describe the leader's list of replicas.
+    `list_age`, in seconds, describe the leader's list of replicas. `limits` is the
+    table of the replicas' request limits if its `limits_version` is new to the router.
     """
 
     peer_address: str
@@ -91,6 +96,8 @@
     routers: int = 0
     list_version: ListVersion = field(factory=ListVersion)
     list_age: float = 0.0
+    limits_version: ListVersion = field(factory=ListVersion)
+    limits: tuple[LentShare, ...] = ()
 
 
 @frozen
--- a/gentianworks/core/gateway/attempts.py
+++ b/gentianworks/core/gateway/attempts.py
@@ -23,6 +23,7 @@
     fail_call,
     send_to_best_replica,
 )
+from gentianworks.core.gateway.limit_notices import record_limit
 from gentianworks.core.gateway.log_details import describe_call
 from gentianworks.core.gateway.route_table import RetryPolicy
 from gentianworks.core.gateway.state import GatewayExchange, GatewayState
@@ -48,6 +49,16 @@
     exchange.has_received_head = True
     _record_health(exchange, answer, gateway, now)
     _record_load(exchange, answer, gateway, now)
+    limits = record_limit(exchange.replica, answer, state, now)
+    return [*limits, *_handle_answer_start(exchange, answer, state, now)]
+
+
+def _handle_answer_start(
+    exchange: GatewayExchange, answer: ReplicaAnswerHead, state: State, now: float
+) -> list[Effect]:
+    gateway = state.gateway
+    assert gateway is not None
+    assert exchange.replica is not None
     if answer.defect:
         drop = CancelReplicaCall(exchange.attempt)
         return [drop, *_fail_defective_attempt(exchange, answer.defect, state, now)]
--- a/gentianworks/core/gateway/calls.py
+++ b/gentianworks/core/gateway/calls.py
@@ -39,3 +39,8 @@
     def affinity_key(self) -> str:
         """Return the digest of the last prompt part that other calls share."""
         return self.prompt[-2].digest if len(self.prompt) > 1 else ""
+
+    @property
+    def placement_key(self) -> str:
+        """Return the key by which the call is placed."""
+        return self.affinity_key or self.request_id
--- a/gentianworks/core/gateway/dispatch.py
+++ b/gentianworks/core/gateway/dispatch.py
@@ -19,6 +19,11 @@
 from gentianworks.core.gateway.admission import DEFAULT_DURATION, compute_retry_after
 from gentianworks.core.gateway.calls import Call
 from gentianworks.core.gateway.crashes import check_call
+from gentianworks.core.gateway.limit_checks import (
+    check_limits,
+    record_arrived_call,
+    record_sent_call,
+)
 from gentianworks.core.gateway.log_details import describe_call
 from gentianworks.core.gateway.placement import choose_replica
 from gentianworks.core.gateway.prompt_sources import find_prompt_source
@@ -107,6 +112,7 @@
     )
     gateway.exchanges[exchange.id] = exchange
     gateway.get_retry_budget(exchange.service).deposit()
+    record_arrived_call(exchange, gateway, now)
     timer = SetTimer(exchange.deadline, CallExpired(exchange.id))
     if would_outlast_grace(exchange, gateway, state, now):
         problem = _describe_departure(state, RunState.NOT_RUN)
@@ -182,6 +188,9 @@
 def _place_call(
     exchange: GatewayExchange, gateway: GatewayState, state: State, now: float
 ) -> list[Effect]:
+    limitation = check_limits(exchange, gateway, state, now)
+    if limitation is not None:
+        return fail_call(exchange, limitation, gateway, now)
     replica = choose_replica(
         exchange.service, exchange.call, exchange.tried_replicas, gateway, now
     )
@@ -212,6 +221,7 @@
     exchange.awaits_next_event = exchange.has_sent_head
     exchange.tried_replicas.add(replica.name)
     gateway.registry.get_load(replica.name).own_calls += 1
+    record_sent_call(exchange, replica, gateway, now)
     gateway.exchange_of_attempt[exchange.attempt] = exchange.id
     silence_timeout = gateway.health.compute_silence_timeout(
         exchange.service, exchange.route.latency_objective
--- a/gentianworks/core/gateway/list_distribution.py
+++ b/gentianworks/core/gateway/list_distribution.py
@@ -34,6 +34,7 @@
     if shared is None or replication is None:
         return []
     shared.begin_term(replication.vote.term, now)
+    state.limit_table.begin_term(replication.vote.term, now)
     return [SetTimer(now, ReplicaListDue())]
 
 
--- a/gentianworks/core/gateway/placement.py
+++ b/gentianworks/core/gateway/placement.py
@@ -3,6 +3,9 @@
 Calls with the same shared prompt prefix go to the replica that has the prefix cached.
 If a prefix is so popular that its replica's load would far exceed the mean, further
 calls spill to other replicas. Calls without a shared prefix go to the least loaded one.
+Replicas that limit their requests take part while this router may send them one, and
+don't count in the mean. They get a call now and then, since only answers tell that a
+limit has ended.
 """
 
 from __future__ import annotations
@@ -28,19 +31,38 @@
 ) -> Replica | None:
     """Return the replica for the next attempt at a call, or None."""
     usable = gateway.registry.list_usable(service)
-    untried = [item for item in usable if item.name not in tried]
+    untried = [
+        item
+        for item in usable
+        if item.name not in tried
+        and gateway.limits.may_send(item.name, call.placement_key, now)
+    ]
     reachable = [
         item for item in untried if not gateway.backoff.is_unavailable(item.name, now)
     ]
     candidates = reachable or untried
     if not candidates:
         return None
+    due = _find_renewal(candidates, gateway, now)
+    if due is not None:
+        return due
     loads = {item.name: _compute_load(item, gateway, now) for item in candidates}
     if call.affinity_key:
-        return _choose_by_affinity(call.affinity_key, candidates, loads)
+        mean = _compute_mean(candidates, loads, gateway)
+        return _choose_by_affinity(call.affinity_key, candidates, loads, mean)
     return _choose_least_loaded(call.request_id, candidates, loads)
 
 
+def _find_renewal(
+    candidates: list[Replica], gateway: GatewayState, now: float
+) -> Replica | None:
+    """Return a replica that is to be asked whether its limit still holds, or None."""
+    if gateway.limits.is_empty():
+        return None
+    due = (x for x in candidates if gateway.limits.is_renewal_due(x.name, now))
+    return next(due, None)
+
+
 def _compute_load(replica: Replica, gateway: GatewayState, now: float) -> float:
     """Return the load of a replica with one more call, scaled by its health."""
     load = gateway.registry.get_load(replica.name).estimate(now)
@@ -48,12 +70,27 @@
     return (load + 1) * factor
 
 
+def _compute_mean(
+    candidates: list[Replica], loads: dict[ReplicaName, float], gateway: GatewayState
+) -> float:
+    """Return the mean load of the replicas without a limit, or of all if none is left.
+
+    The few calls of limited replicas would make the others' subjects spill to them.
+    """
+    limits = gateway.limits
+    names = [x.name for x in candidates if limits.get_limit(x.name) is None]
+    counted = [loads[name] for name in names or loads]
+    # The loads count one more call at each replica; the mean must not.
+    return max(0.0, sum(counted) / len(counted) - 1)
+
+
 def _choose_by_affinity(
-    affinity_key: str, candidates: list[Replica], loads: dict[ReplicaName, float]
+    affinity_key: str,
+    candidates: list[Replica],
+    loads: dict[ReplicaName, float],
+    mean: float,
 ) -> Replica:
     """Return the first replica in the key's rendezvous order that is not overloaded."""
-    # The loads count one more call at each replica; the mean must not.
-    mean = max(0.0, sum(loads.values()) / len(loads) - 1)
     bound = SPILL_MULTIPLE * mean + SPILL_FLOOR
     order = order_by_score(affinity_key, candidates)
     for replica in order:
--- /dev/null
+++ b/gentianworks/core/gateway/replica_limits.py
@@ -0,0 +1,282 @@
+"""Replica limits: how many requests a router may send to a replica that limits them.
+
+A limit holds for all routers together, so the leading control host lends shares of it
+to a few routers; the others send nothing to the replica. While no host leads, every
+router takes the same small share.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Container, Iterable
+from enum import Enum
+
+from attrs import define, field, frozen
+
+from gentianworks.core.gateway.notices import ReplicaNotices
+from gentianworks.core.gateway.replicas import ListVersion, Replica, ReplicaName
+from gentianworks.core.hashing import hash_to_fraction
+
+# Requests a second; a replica that names less still gets requests now and then, since
+# only its answers tell that the limit has ended.
+MIN_LIMIT = 0.1
+END_DELAY = 1.0  # seconds without the limit; answers of one moment overtake each other
+CHANGE_TOLERANCE = 0.1  # of the limit; the fleet need not hear of smaller changes
+RAISE_DELAY = 5.0  # seconds until a higher limit counts, so that two don't alternate
+RENEWAL_TIME = 2.0  # seconds without an answer of a limited replica
+TRANSITION_TIME = 2.0  # seconds in which the calls beyond a new limit move elsewhere
+BURST_TIME = 1.0  # seconds of a share that may be used at once
+LEADER_TIMEOUT = 5.0  # seconds; ten heartbeats
+NEWS_LIFETIME = 5.0  # seconds; ten heartbeats
+MAX_REPORTED_LIMITS = 64  # in a heartbeat; the next one has the others
+
+
+@frozen
+class ReportedLimit:
+    """Limit that a router learned from a replica `age` seconds ago.
+
+    `limit` is in requests a second, None if the replica no longer names one.
+    """
+
+    replica: ReplicaName
+    limit: float | None
+    age: float
+
+
+@frozen
+class LentShare:
+    """A replica's limit and the part of it that a router may use.
+
+    Both are in requests a second; `rate` is 0 for a router without a part. `age` is the
+    time in seconds since the limit was first named.
+    """
+
+    replica: ReplicaName
+    limit: float
+    rate: float
+    age: float = 0.0
+
+
+class LimitChange(Enum):
+    """Ways in which an answer can change what is known of a replica's limit."""
+
+    NAMED = "named"
+    CHANGED = "changed"
+    ENDED = "ended"
+
+
+@define
+class RequestTokens:
+    """Token bucket of one replica.
+
+    Its first level is under one request, as another router may have had the share, and
+    differs between routers, since their shares may begin at the same moment.
+    """
+
+    updated_at: float  # seconds
+    level: float  # requests
+
+    def refill(self, rate: float, now: float) -> None:
+        """Add the requests that `rate` allows since the last update."""
+        added = rate * max(0.0, now - self.updated_at)
+        self.level = min(max(1.0, rate * BURST_TIME), self.level + added)
+        self.updated_at = now
+
+
+@define
+class LimitNews:
+    """Limit that an answer named, None if it ended, until the leader's table has it."""
+
+    limit: float | None
+    heard_at: float  # seconds
+
+
+@define
+class ReplicaLimits:
+    """A router's knowledge of the replicas that limit their requests.
+
+    `lent` is the leader's table in `version`, `news` what the answers told since.
+    `named_at` is the time in seconds at which a limit was last named, `kept_at` that at
+    which it was last named no higher than it counts, and `began_at` that at which the
+    replica's first limit began, as the leader told it; without that, a limit applies to
+    all calls at once. `asked_at` is that of the last request to a limited replica.
+    """
+
+    router: str = ""  # name of this router
+    version: ListVersion = field(factory=ListVersion)
+    lent: dict[ReplicaName, LentShare] = field(factory=dict)
+    news: dict[ReplicaName, LimitNews] = field(factory=dict)
+    named_at: dict[ReplicaName, float] = field(factory=dict)
+    kept_at: dict[ReplicaName, float] = field(factory=dict)
+    began_at: dict[ReplicaName, float] = field(factory=dict)
+    asked_at: dict[ReplicaName, float] = field(factory=dict)
+    is_leader_silent: bool = False
+    router_count: int = 1
+    _tokens: dict[ReplicaName, RequestTokens] = field(factory=dict)
+
+    def is_empty(self) -> bool:
+        """Return whether this router knows of no limit."""
+        return not self.lent and not self.news
+
+    def get_limit(self, name: ReplicaName) -> float | None:
+        """Return a replica's limit in requests a second, or None."""
+        news = self.news.get(name)
+        if news is not None:
+            return news.limit
+        lent = self.lent.get(name)
+        return None if lent is None else lent.limit
+
+    def list_limited(self) -> list[ReplicaName]:
+        """Return the replicas that limit their requests."""
+        names = dict.fromkeys((*self.lent, *self.news))
+        return [name for name in names if self.get_limit(name) is not None]
+
+    def get_rate(self, name: ReplicaName) -> float:
+        """Return this router's share of a replica's limit, in requests a second."""
+        limit = self.get_limit(name)
+        if limit is None:
+            return float("inf")
+        if self.is_leader_silent:
+            return limit / max(1, self.router_count)
+        lent = self.lent.get(name)
+        return lent.rate if lent is not None else 0.0
+
+    def may_send(self, name: ReplicaName, key: str, now: float) -> bool:
+        """Return whether this router may send a replica a call now.
+
+        Calls with the same `key` move to other replicas at the same moment.
+        """
+        if self.get_limit(name) is None:
+            return True
+        moved = self._compute_moved_share(name, now)
+        if moved < 1 and hash_to_fraction(f"{name}/{key}") >= moved:
+            return True
+        return self._may_use_share(name, now)
+
+    def _may_use_share(self, name: ReplicaName, now: float) -> bool:
+        return self._refill(name, now).level >= 1
+
+    def is_in_force(self, name: ReplicaName, now: float) -> bool:
+        """Return whether a replica has a limit that applies to all of its calls."""
+        limit = self.get_limit(name)
+        return limit is not None and self._compute_moved_share(name, now) >= 1
+
+    def _compute_moved_share(self, name: ReplicaName, now: float) -> float:
+        """Return the share of the calls that a limit applies to by now."""
+        began_at = self.began_at.get(name, float("-inf"))
+        return min(1.0, max(0.0, now - began_at) / TRANSITION_TIME)
+
+    def record_sent(self, name: ReplicaName, now: float) -> None:
+        """Use one request of this router's share, if the replica has a limit."""
+        if self.is_in_force(name, now):
+            self._refill(name, now).level -= 1
+            self.asked_at[name] = now
+
+    def is_renewal_due(self, name: ReplicaName, now: float) -> bool:
+        """Return whether a replica is to be asked whether its limit still holds."""
+        if not self.is_in_force(name, now) or not self._may_use_share(name, now):
+            return False
+        heard_at = max(self.named_at.get(name, now), self.asked_at.get(name, 0.0))
+        return now - heard_at >= RENEWAL_TIME
+
+    def compute_wait(self, names: Iterable[ReplicaName], now: float) -> float:
+        """Return the seconds until the first of some replicas may get a request."""
+        waits = [float("inf")]
+        for name in names:
+            rate = self.get_rate(name)
+            if rate > 0:
+                waits.append(max(0.0, 1 - self._refill(name, now).level) / rate)
+        return min(waits)
+
+    def _refill(self, name: ReplicaName, now: float) -> RequestTokens:
+        tokens = self._tokens.get(name)
+        if tokens is None:
+            level = hash_to_fraction(f"{self.router}/{name}")
+            tokens = self._tokens[name] = RequestTokens(now, level)
+        tokens.refill(self.get_rate(name), now)
+        return tokens
+
+    def record_notices(
+        self, replica: Replica, notices: ReplicaNotices, now: float
+    ) -> LimitChange | None:
+        """Record whether an answer names a limit, and return what this changes."""
+        name, known = replica.name, self.get_limit(replica.name)
+        if notices.request_limit is not None:
+            limit = max(MIN_LIMIT, notices.request_limit)
+            self.named_at[name] = now
+            if known is not None and not self._is_changed(name, limit, known, now):
+                return None
+            self.kept_at[name] = now
+            self.news[name] = LimitNews(limit, now)
+            return LimitChange.NAMED if known is None else LimitChange.CHANGED
+        if known is None or notices.defect:
+            return None
+        if now - self.named_at.get(name, now) < END_DELAY:
+            return None
+        self._set_unlimited(name)
+        self.news[name] = LimitNews(None, now)
+        return LimitChange.ENDED
+
+    def _is_changed(
+        self, name: ReplicaName, limit: float, known: float, now: float
+    ) -> bool:
+        """Return whether a named limit replaces the known one."""
+        if limit > known * (1 + CHANGE_TOLERANCE):
+            return now - self.kept_at.setdefault(name, now) >= RAISE_DELAY
+        self.kept_at[name] = now
+        return limit < known * (1 - CHANGE_TOLERANCE)
+
+    def _set_unlimited(self, name: ReplicaName) -> None:
+        self.named_at.pop(name, None)
+        self.kept_at.pop(name, None)
+        self.asked_at.pop(name, None)
+        self._tokens.pop(name, None)
+
+    def list_reports(self, now: float) -> tuple[ReportedLimit, ...]:
+        """Return the limits to report to the leader with a heartbeat."""
+        reports = tuple(
+            ReportedLimit(name, news.limit, now - news.heard_at)
+            for name, news in self.news.items()
+        )
+        return reports[:MAX_REPORTED_LIMITS]
+
+    def confirm(
+        self, version: ListVersion, shares: tuple[LentShare, ...], now: float
+    ) -> None:
+        """Apply a leader's answer; `shares` is its whole table if it is a newer one.
+
+        A new leader that has no table yet learns the limits from the routers.
+        """
+        if version.term > self.version.term and not version.number:
+            self.version = ListVersion(version.term)
+            for name, share in self.lent.items():
+                heard_at = self.began_at.get(name, now)
+                self.news.setdefault(name, LimitNews(share.limit, heard_at))
+        elif version > self.version:
+            self.version = version
+            self._replace_table(shares, now)
+        for name, news in list(self.news.items()):
+            lent = self.lent.get(name)
+            known = lent.limit if lent is not None else None
+            is_old = now - news.heard_at > NEWS_LIFETIME
+            if self.version.number and (known == news.limit or is_old):
+                del self.news[name]
+
+    def retain_listed(self, names: Container[ReplicaName]) -> None:
+        """Forget when the first limits of replicas began that the list has no more."""
+        for name in list(self.began_at):
+            if name not in names:
+                del self.began_at[name]
+
+    def _replace_table(self, shares: tuple[LentShare, ...], now: float) -> None:
+        before = set(self.list_limited())
+        self.lent = {item.replica: item for item in shares}
+        limited = set(self.list_limited())
+        for name in limited:
+            self.named_at.setdefault(name, now)
+        for share in shares:
+            began_at = now - share.age
+            known = self.began_at.setdefault(share.replica, began_at)
+            self.began_at[share.replica] = min(known, began_at)
+            self._refill(share.replica, now)
+        for name in before - limited:
+            self._set_unlimited(name)
--- a/gentianworks/core/gateway/state.py
+++ b/gentianworks/core/gateway/state.py
@@ -9,6 +9,8 @@
 from gentianworks.core.gateway.crash_tracker import CrashTracker
 from gentianworks.core.gateway.health import HealthTable
 from gentianworks.core.gateway.list_fetches import ListFetches
+from gentianworks.core.gateway.rank_demand import RankDemand
+from gentianworks.core.gateway.replica_limits import ReplicaLimits
 from gentianworks.core.gateway.replicas import Replica, ReplicaName, ReplicaRegistry
 from gentianworks.core.gateway.route_table import RetryPolicy, Route, RouteTable
 from gentianworks.core.gateway.startup_queue import QueuedCall
@@ -87,6 +89,9 @@
     retry_slack: float = DEFAULT_RETRY_SLACK
     router_count: int = DEFAULT_ROUTER_COUNT
     crashes: CrashTracker = field(factory=CrashTracker)
+    limits: ReplicaLimits = field(factory=ReplicaLimits)
+    # By service, while some of its replicas limit their requests.
+    rank_demands: dict[ServiceName, RankDemand] = field(factory=dict)
 
     def is_ready(self) -> bool:
         """Return whether the routes and the replicas are known."""
--- a/gentianworks/core/membership/heartbeats.py
+++ b/gentianworks/core/membership/heartbeats.py
@@ -20,7 +20,12 @@
     RegionLoads,
 )
 from gentianworks.core.gateway.discovery import confirm_list
+from gentianworks.core.gateway.limit_updates import (
+    answer_limit_reports,
+    confirm_limits,
+)
 from gentianworks.core.gateway.list_distribution import describe_shared_list
+from gentianworks.core.gateway.replicas import ListVersion
 from gentianworks.core.load.agent_bounds import find_service, is_bound_above_floor
 from gentianworks.core.load.falls import announce_fall
 from gentianworks.core.load.sums import (
@@ -139,6 +144,10 @@
         ranks=state.agent.compute_rank_loads() if state.agent else (),
         sent_at=now,
         asks_sum=asks_sum,
+        limits=state.gateway.limits.list_reports(now) if state.gateway else (),
+        limits_version=(
+            state.gateway.limits.version if state.gateway else ListVersion()
+        ),
     )
 
 
@@ -205,6 +214,7 @@
     roster.record_heartbeat(event, state.configuration, now)
     if not event.endpoint:
         state.router_heartbeats[event.peer_address] = now
+    limits_version, limits = answer_limit_reports(event, state, now)
     changes = roster.page_changes(event.epoch, event.version)
     loads = _list_service_loads(event, state, now)
     falls = state.load_table.falls
@@ -223,6 +233,8 @@
         routers=len(state.router_heartbeats) if state.discovers_control_hosts else 0,
         list_version=list_version,
         list_age=list_age,
+        limits_version=limits_version,
+        limits=limits,
     )
     return [
         *sums,
@@ -285,6 +297,7 @@
     state.control_addresses = event.control_addresses or state.control_addresses
     if state.gateway is not None and event.routers:
         state.gateway.router_count = event.routers
+    confirm_limits(event, state, now)
     for endpoint in restarted:
         state.router.backoff.clear_leaving(endpoint)
     return [
@@ -338,6 +351,7 @@
     for address, last_heartbeat_at in list(state.router_heartbeats.items()):
         if now - last_heartbeat_at > ROUTER_TIMEOUT:
             del state.router_heartbeats[address]
+            state.limit_table.remove_router(address)
 
 
 def _send_region_loads(state: State) -> list[Effect]:
--- a/gentianworks/core/state.py
+++ b/gentianworks/core/state.py
@@ -6,6 +6,7 @@
 
 from gentianworks.core.agents.attempts import AgentState
 from gentianworks.core.configuration.distribution_state import DistributionState
+from gentianworks.core.gateway.limit_shares import LimitTable
 from gentianworks.core.gateway.shared_list import SharedList
 from gentianworks.core.gateway.state import GatewayState
 from gentianworks.core.load.table import LoadTable
@@ -41,7 +42,8 @@
     maps the peer address of each router to the time of the last heartbeat that the
     leader received. `pending_crashes` are the crash reports that await an
     acknowledgement.
-    `shared_list` is set on control hosts that fetch the list of replicas for gateways.
+    `shared_list` is set on control hosts that fetch the list of replicas for gateways,
+    `limit_table` is used there.
     """
 
     node: Node
@@ -69,6 +71,7 @@
     router: RouterState = field(factory=RouterState)
     gateway: GatewayState | None = None
     shared_list: SharedList | None = None
+    limit_table: LimitTable = field(factory=LimitTable)
     agent: AgentState | None = None
     control: ControlState = field(factory=ControlState)
     distribution: DistributionState = field(factory=DistributionState)
--- a/gentianworks/log.py
+++ b/gentianworks/log.py
@@ -208,6 +208,12 @@
         ),
         CatalogueEntry("GW5120", "A quarantined call is sent once, as a trial."),
         CatalogueEntry("GW5121", "A replica that lost calls could not be checked."),
+        CatalogueEntry(
+            "GW5122",
+            "A replica names or changes a limit of its requests.",
+            "Find out why the replica is short of capacity, or add replicas.",
+        ),
+        CatalogueEntry("GW5123", "A replica no longer limits its requests."),
         CatalogueEntry("GW5113", "A leader's list of replicas has taken effect."),
         CatalogueEntry(
             "GW5114",
--- a/gentianworks/metrics.py
+++ b/gentianworks/metrics.py
@@ -122,6 +122,11 @@
             "replica_suspects",
             "Calls and prompt parts that crashed replicas, by whether quarantined.",
         )
+        self.replica_limits = self._add(
+            Gauge,
+            "replica_limits",
+            "Replicas that limit their requests, and those of which a share is held.",
+        )
         self.ledger_keys = self._add(
             Gauge, "ledger_keys", "Keys that this host's ledger holds, by status."
         )
@@ -153,6 +158,7 @@
             exchanges += len(state.gateway.exchanges)
         self.load.set({"kind": "exchanges"}, exchanges)
         self._set_list_metrics(state, now)
+        self._set_limit_metrics(state)
         if state.node.role is Role.CONTROL:
             self._set_ledger_metrics(state.control.replicated.ledger)
             self._set_voter_metrics(state)
@@ -185,6 +191,17 @@
         self.list_fetches.set({"outcome": "failure"}, fetches.failure_total)
         self.fetches_list.set({}, int(is_fetching))
 
+    def _set_limit_metrics(self, state: State) -> None:
+        if state.gateway is not None:
+            limits = state.gateway.limits
+            limited = limits.list_limited()
+            shared = sum(limits.get_rate(name) > 0 for name in limited)
+            self.replica_limits.set({"state": "limited"}, len(limited))
+            self.replica_limits.set({"state": "shared"}, shared)
+        elif is_fetcher(state):
+            limited = list(state.limit_table.entries)
+            self.replica_limits.set({"state": "limited"}, len(limited))
+
     def _set_voter_metrics(self, state: State) -> None:
         replication = state.control.replication
         if replication is None:
--- a/properties/crashing_fleet.py
+++ b/properties/crashing_fleet.py
@@ -22,6 +22,7 @@
 from gentianworks.core.events.gateway import (
     CallArrived,
     ReplicaAnswerEnded,
+    ReplicaAnswerHead,
     ReplicaAnswerPiece,
     ReplicaAnswerStarted,
     ReplicaCallFailed,
@@ -144,6 +145,10 @@
         router = self.size + self.rng.randrange(self.router_count)
         if self.deadly_router is not None and self.is_deadly(call):
             router = self.deadly_router
+        self.send_call_to(router, call, retries)
+
+    def send_call_to(self, router: int, call: Call, retries: int) -> None:
+        """Send a client's call to a given router."""
         exchange = f"{call.request_id}/{retries}"
         self.calls[exchange] = call
         self._handle(router, CallArrived(exchange, call))
@@ -205,13 +210,17 @@
         piece = ReplicaAnswerPiece(attempt, b"id: 0", 0, 0)
         answer_time = self.rng.uniform(0.1, MAX_ANSWER_TIME)
         events: tuple[tuple[float, Event], ...] = (
-            (0.0, ReplicaAnswerStarted(attempt, EVENT_STREAM_HEAD)),
+            (0.0, ReplicaAnswerStarted(attempt, self.build_head(name))),
             (CONNECT_TIME, piece),
             (answer_time, ReplicaAnswerEnded(attempt)),
         )
         for delay, event in events:
             self.schedule(delay, call.router, event, 0)
 
+    def build_head(self, name: ReplicaName) -> ReplicaAnswerHead:
+        """Return the head of an answer of a replica."""
+        return EVENT_STREAM_HEAD
+
     def is_deadly(self, call: Call) -> bool:
         """Return whether a call crashes replicas."""
         return DEADLY_PART in call.prompt or call.body == b"deadly"
