Fill a router's share of a limit only for the time it holds it

All eight routers that held no share sent one within 0.2 s of the moment at which they gave up the leader and took even shares.

Cause: a bucket is filled when it is looked at, for the time since the last look, at the rate of now. One that was not looked at for seconds, since another replica took the call first, was filled for a time in which the router had no share.

Change: all buckets are filled at the old rates before a table, a limit or the silence of the leader changes them.

--- a/gentianworks/core/gateway/limit_updates.py
+++ b/gentianworks/core/gateway/limit_updates.py
@@ -17,7 +17,7 @@
 def update_leader_contact(gateway: GatewayState, state: State, now: float) -> None:
     """Update whether the limits' shares of the leader are current."""
     heard_at = max(state.fleet.last_answer_at, gateway.started_at)
-    gateway.limits.is_leader_silent = now - heard_at > LEADER_TIMEOUT
+    gateway.limits.update_leader_contact(now - heard_at > LEADER_TIMEOUT, now)
     gateway.limits.router_count = gateway.router_count
     gateway.limits.router = state.node.name
 
--- a/gentianworks/core/gateway/replica_limits.py
+++ b/gentianworks/core/gateway/replica_limits.py
@@ -195,6 +195,17 @@
         tokens.refill(self.get_rate(name), now)
         return tokens
 
+    def _refill_all(self, now: float) -> None:
+        """Fill the buckets at the present rates, before these change."""
+        for name in self._tokens:
+            self._refill(name, now)
+
+    def update_leader_contact(self, is_silent: bool, now: float) -> None:
+        """Update whether the leader's shares are out of date."""
+        if is_silent != self.is_leader_silent:
+            self._refill_all(now)
+            self.is_leader_silent = is_silent
+
     def record_notices(
         self, replica: Replica, notices: ReplicaNotices, now: float
     ) -> LimitChange | None:
@@ -206,6 +217,7 @@
             if known is not None and not self._is_changed(name, limit, known, now):
                 return None
             self.kept_at[name] = now
+            self._refill_all(now)
             self.news[name] = LimitNews(limit, now)
             return LimitChange.NAMED if known is None else LimitChange.CHANGED
         if known is None or notices.defect:
@@ -268,6 +280,7 @@
                 del self.began_at[name]
 
     def _replace_table(self, shares: tuple[LentShare, ...], now: float) -> None:
+        self._refill_all(now)
         before = set(self.list_limited())
         self.lent = {item.replica: item for item in shares}
         limited = set(self.list_limited())
--- a/gentianworks/tests/test_replica_limits.py
+++ b/gentianworks/tests/test_replica_limits.py
@@ -204,6 +204,13 @@
         assert count_sent(state, NOW + 1.5, 10) == 1
         assert count_sent(state, NOW + 60, 10) == 2
 
+    def test_a_share_is_not_filled_for_the_time_before_it_was_lent(self) -> None:
+        state = build_limited(0.0)
+        assert count_sent(state, NOW + 1, 1) == 0
+        lend(state, NOW + 100, 2, engines_1=1.0)
+        assert count_sent(state, NOW + 100, 5) == 0
+        assert count_sent(state, NOW + 101, 5) == 1
+
     def test_an_attempt_that_is_refused_uses_a_share_too(self) -> None:
         state = build_router(2)
         lend(state, NOW, 1, engines_1=1.0, engines_2=0.0)
