Ask a replica again at once when its limit may have ended

Cause: an answer without a limit ends it only 1 s after the last answer with one. If the first such answer came sooner, it was ignored, and the holder of the share asked again only 2 s after that call, or when a call was placed there by itself.

Change: such an answer makes the replica due for a call as soon as its limit could end, and 0.5 s without a limit are enough, since answers overtake each other by the time of a trip only.

--- a/gentianworks/core/gateway/replica_limits.py
+++ b/gentianworks/core/gateway/replica_limits.py
@@ -19,7 +19,7 @@
 # Requests a second; a replica that names less still gets requests now and then, since
 # only its answers tell that the limit has ended.
 MIN_LIMIT = 0.1
-END_DELAY = 1.0  # seconds without the limit; answers of one moment overtake each other
+END_DELAY = 0.5  # seconds without the limit; answers of one moment overtake each other
 CHANGE_TOLERANCE = 0.1  # of the limit; the fleet need not hear of smaller changes
 RAISE_DELAY = 5.0  # seconds until a higher limit counts, so that two don't alternate
 RENEWAL_TIME = 2.0  # seconds without an answer of a limited replica
@@ -98,7 +98,8 @@
     `named_at` is the time in seconds at which a limit was last named, `kept_at` that at
     which it was last named no higher than it counts, and `began_at` that at which the
     replica's first limit began, as the leader told it; without that, a limit applies to
-    all calls at once. `asked_at` is that of the last request to a limited replica.
+    all calls at once. `renewal_at` is the time at which a limited replica is to be sent
+    a call, so that its answer tells whether the limit still holds.
     """
 
     router: str = ""  # name of this router
@@ -108,7 +109,7 @@
     named_at: dict[ReplicaName, float] = field(factory=dict)
     kept_at: dict[ReplicaName, float] = field(factory=dict)
     began_at: dict[ReplicaName, float] = field(factory=dict)
-    asked_at: dict[ReplicaName, float] = field(factory=dict)
+    renewal_at: dict[ReplicaName, float] = field(factory=dict)
     is_leader_silent: bool = False
     router_count: int = 1
     _tokens: dict[ReplicaName, RequestTokens] = field(factory=dict)
@@ -169,14 +170,12 @@
         """Use one request of this router's share, if the replica has a limit."""
         if self.is_in_force(name, now):
             self._refill(name, now).level -= 1
-            self.asked_at[name] = now
+            self.renewal_at[name] = now + RENEWAL_TIME
 
     def is_renewal_due(self, name: ReplicaName, now: float) -> bool:
         """Return whether a replica is to be asked whether its limit still holds."""
-        if not self.is_in_force(name, now) or not self._may_use_share(name, now):
-            return False
-        heard_at = max(self.named_at.get(name, now), self.asked_at.get(name, 0.0))
-        return now - heard_at >= RENEWAL_TIME
+        is_due = now >= self.renewal_at.get(name, float("inf"))
+        return is_due and self.is_in_force(name, now) and self._may_use_share(name, now)
 
     def compute_wait(self, names: Iterable[ReplicaName], now: float) -> float:
         """Return the seconds until the first of some replicas may get a request."""
@@ -214,6 +213,7 @@
         if notices.request_limit is not None:
             limit = max(MIN_LIMIT, notices.request_limit)
             self.named_at[name] = now
+            self.renewal_at[name] = now + RENEWAL_TIME
             if known is not None and not self._is_changed(name, limit, known, now):
                 return None
             self.kept_at[name] = now
@@ -222,7 +222,9 @@
             return LimitChange.NAMED if known is None else LimitChange.CHANGED
         if known is None or notices.defect:
             return None
-        if now - self.named_at.get(name, now) < END_DELAY:
+        ends_at = self.named_at.get(name, now) + END_DELAY
+        if now < ends_at:
+            self.renewal_at[name] = ends_at
             return None
         self._set_unlimited(name)
         self.news[name] = LimitNews(None, now)
@@ -240,7 +242,7 @@
     def _set_unlimited(self, name: ReplicaName) -> None:
         self.named_at.pop(name, None)
         self.kept_at.pop(name, None)
-        self.asked_at.pop(name, None)
+        self.renewal_at.pop(name, None)
         self._tokens.pop(name, None)
 
     def list_reports(self, now: float) -> tuple[ReportedLimit, ...]:
@@ -286,6 +288,7 @@
         limited = set(self.list_limited())
         for name in limited:
             self.named_at.setdefault(name, now)
+            self.renewal_at.setdefault(name, now + RENEWAL_TIME)
         for share in shares:
             began_at = now - share.age
             known = self.began_at.setdefault(share.replica, began_at)
--- a/gentianworks/tests/test_replica_limits.py
+++ b/gentianworks/tests/test_replica_limits.py
@@ -270,6 +270,14 @@
         sent = get_effect(CallReplica, send_call(state, NOW + 1, "x2"))
         assert sent.replica == busy
 
+    def test_a_replica_is_asked_again_after_an_answer_too_soon_to_end_it(self) -> None:
+        state = build_limited(4.0)
+        name_limit(state, 4.0, NOW + 2)
+        name_limit(state, None, NOW + 2 + END_DELAY * 0.9)
+        assert get_gateway(state).limits.is_renewal_due(
+            "engines-1", NOW + 2 + END_DELAY
+        )
+
     def test_a_new_leader_learns_the_limits_from_the_routers(self) -> None:
         state = build_limited()
         answer = HeartbeatAnswer(
