--- a/gentianworks/storage/journal.py
+++ b/gentianworks/storage/journal.py
@@ -38,6 +38,14 @@
     is_last: bool
 
 
+@frozen
+class EncodedSnapshot:
+    """Snapshot as it is stored; later commands don't change it."""
+
+    position: Position
+    data: bytes
+
+
 class Journal:
     """Journal and snapshot files of a data folder."""
 
@@ -90,9 +98,13 @@
         batch = self._codec.encode(JournalBatch(vote, entries))
         replace_file(self._journal, header + batch)
 
-    def save_snapshot(self, snapshot: Snapshot) -> None:
+    def encode_snapshot(self, snapshot: Snapshot) -> EncodedSnapshot:
+        """Return a snapshot as it is to be stored."""
+        return EncodedSnapshot(snapshot.position, self._codec.encode(snapshot))
+
+    def save_snapshot(self, snapshot: EncodedSnapshot) -> None:
         """Replace the snapshot and sync the new one to disk."""
-        replace_file(self._snapshot, self._codec.encode(snapshot))
+        replace_file(self._snapshot, snapshot.data)
         self.snapshot_position = snapshot.position
 
     def read_snapshot_chunk(self, offset: int, size: int) -> StoredSnapshotChunk:
--- a/gentianworks/storage/store.py
+++ b/gentianworks/storage/store.py
@@ -31,7 +31,7 @@
     DiskFullError,
     StorageError,
 )
-from gentianworks.storage.journal import Journal, merge_entries
+from gentianworks.storage.journal import EncodedSnapshot, Journal, merge_entries
 
 DISK_FULL_RETRY_INTERVAL = (
     0.25  # seconds; detects free space soon, at little cost while the disk is full
@@ -42,6 +42,14 @@
 logger = logging.getLogger("gentianworks")
 
 
+@frozen
+class QueuedSnapshot:
+    """Snapshot that waits to be saved, encoded as it was when it was taken."""
+
+    effect: SaveSnapshot
+    snapshot: EncodedSnapshot
+
+
 @define
 class Store:
     """Journal with the writes that are queued for its next sync.
@@ -53,7 +61,7 @@
     journal: Journal
     is_disk_full: bool = False
     _queued_writes: list[WriteJournal] = field(factory=list)
-    _queued_snapshot: SaveSnapshot | None = None
+    _queued_snapshot: QueuedSnapshot | None = None
 
     def enqueue_write(self, effect: WriteJournal, process: Process) -> None:
         """Queue a write; writes of the same iteration of the loop share one sync."""
@@ -66,7 +74,8 @@
 
         The entries of the effect include the queued writes, so the queue is cleared.
         """
-        self._queued_snapshot = effect
+        snapshot = self.journal.encode_snapshot(effect.snapshot)
+        self._queued_snapshot = QueuedSnapshot(effect, snapshot)
         self._queued_writes.clear()
         if not self.is_disk_full:
             self._flush(process)
@@ -94,7 +103,7 @@
         save, sequence = self._queued_snapshot, None
         if save is not None:
             self._run(lambda: self._replace_files(save), process)
-            self._queued_snapshot, sequence = None, save.sequence
+            self._queued_snapshot, sequence = None, save.effect.sequence
         if self._queued_writes:
             entries: list[Entry] = []
             for write in self._queued_writes:
@@ -111,8 +120,9 @@
         loop = asyncio.get_running_loop()
         loop.call_later(DISK_FULL_RETRY_INTERVAL, self._flush_or_fail, process)
 
-    def _replace_files(self, effect: SaveSnapshot) -> None:
-        self.journal.save_snapshot(effect.snapshot)
+    def _replace_files(self, save: QueuedSnapshot) -> None:
+        effect = save.effect
+        self.journal.save_snapshot(save.snapshot)
         self.journal.rewrite(effect.host, effect.vote, effect.base, effect.entries)
 
     def _run(self, write: Callable[[], None], process: Process) -> None:
--- a/gentianworks/storage/volatile.py
+++ b/gentianworks/storage/volatile.py
@@ -14,7 +14,7 @@
 from gentianworks.core.replication.log import Entry, Position, Snapshot, Vote
 from gentianworks.core.replication.members import HostId
 from gentianworks.storage.errors import StorageError
-from gentianworks.storage.journal import Journal
+from gentianworks.storage.journal import EncodedSnapshot, Journal
 
 
 class VolatileJournal(Journal):
@@ -35,5 +35,9 @@
     ) -> None:
         """Drop a new journal."""
 
-    def save_snapshot(self, snapshot: Snapshot) -> None:
+    def encode_snapshot(self, snapshot: Snapshot) -> EncodedSnapshot:
+        """Return a snapshot without its contents."""
+        return EncodedSnapshot(snapshot.position, b"")
+
+    def save_snapshot(self, snapshot: EncodedSnapshot) -> None:
         """Drop a snapshot."""
--- a/gentianworks/tests/test_journal.py
+++ b/gentianworks/tests/test_journal.py
@@ -72,7 +72,8 @@
     def test_load_rejects_a_damaged_snapshot_and_a_missing_journal(
         self, journal: Journal, tmp_path: Path
     ) -> None:
-        journal.save_snapshot(Snapshot(Position(1, 2), ReplicatedState()))
+        snapshot = Snapshot(Position(1, 2), ReplicatedState())
+        journal.save_snapshot(journal.encode_snapshot(snapshot))
         file = tmp_path / "snapshot"
         data = bytearray(file.read_bytes())
         data[-1] ^= 1
@@ -84,7 +85,8 @@
     def test_load_discards_entries_behind_a_newer_snapshot_after_a_crash(
         self, journal: Journal, tmp_path: Path
     ) -> None:
-        journal.save_snapshot(Snapshot(Position(2, 9), ReplicatedState()))
+        snapshot = Snapshot(Position(2, 9), ReplicatedState())
+        journal.save_snapshot(journal.encode_snapshot(snapshot))
         contents = load(tmp_path)
         assert (contents.base, contents.entries) == (Position(2, 9), ())
         journal.append(Vote(2, ""), (create_entry(2, 10),))
--- a/gentianworks/tests/test_store.py
+++ b/gentianworks/tests/test_store.py
@@ -20,7 +20,7 @@
 from gentianworks.process import Process
 from gentianworks.storage import journal as journal_module
 from gentianworks.storage.errors import STORAGE_EXIT_STATUS
-from gentianworks.storage.journal import Journal
+from gentianworks.storage.journal import EncodedSnapshot, Journal
 from gentianworks.storage.startup import open_volatile_store
 from gentianworks.storage.store import DISK_FULL_RETRY_INTERVAL, Store
 from gentianworks.tests.fixtures import build_state
@@ -72,7 +72,7 @@
     save = journal.save_snapshot
     remaining = [failures]
 
-    def fail(snapshot: Snapshot) -> None:
+    def fail(snapshot: EncodedSnapshot) -> None:
         if remaining[0]:
             remaining[0] -= 1
             raise OSError(errno.ENOSPC, "No space is left.")
@@ -80,10 +80,12 @@
 
     journal.save_snapshot = fail  # type: ignore[method-assign]
     process = SimpleNamespace(handle=lambda event: synced.append(event.sequence))
-    base = Position(1, 1)
-    snapshot = Snapshot(base, ReplicatedState())
+    base, replicated = Position(1, 1), ReplicatedState()
+    snapshot = Snapshot(base, replicated)
     effect = SaveSnapshot(1, "host", Vote(1, "host"), snapshot, base)
     store.save_snapshot(effect, cast(Process, process))
+    # Commands that are applied later change the state in place.
+    replicated.replica_suspects.version += 1
     entry = Entry(Position(1, 2), BeginTerm("p2", 0.0))
     store.enqueue_write(
         WriteJournal(2, Vote(1, "host"), (entry,)), cast(Process, process)
@@ -100,6 +102,14 @@
         assert contents.snapshot.position == Position(1, 1)
         assert [entry.position.index for entry in contents.entries] == [2]
 
+    def test_a_snapshot_that_waits_for_space_has_no_later_commands(
+        self, tmp_path: Path
+    ) -> None:
+        anyio.run(save_snapshot, tmp_path, 2)
+        contents = Journal(tmp_path).load("other").ok
+        assert contents.snapshot is not None
+        assert contents.snapshot.replicated.replica_suspects.version == 0
+
     def test_no_write_is_reported_as_synced_while_the_disk_is_full(
         self, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
     ) -> None:
