--- a/gentianworks/storage/store.py
+++ b/gentianworks/storage/store.py
@@ -161,7 +161,11 @@
         detail = "is not set; give each control host a folder on its disk."
         return Error(StorageError("[node] data_folder", detail))
     journal = Journal(Path(folder))
-    loaded = journal.load(secrets.token_hex(HOST_ID_BYTES))
+    try:
+        loaded = journal.load(secrets.token_hex(HOST_ID_BYTES))
+    except OSError as error:
+        detail = f"can't be read or written ({error}); free space on its disk."
+        return Error(StorageError(folder, detail))
     return loaded.map(lambda contents: OpenedStore(Store(journal), contents))
 
 
--- a/gentianworks/tests/test_store.py
+++ b/gentianworks/tests/test_store.py
@@ -27,7 +27,7 @@
 from gentianworks.storage.errors import STORAGE_EXIT_STATUS
 from gentianworks.storage.journal import EncodedSnapshot, Journal
 from gentianworks.storage.startup import open_volatile_store
-from gentianworks.storage.store import DISK_FULL_RETRY_INTERVAL, Store
+from gentianworks.storage.store import DISK_FULL_RETRY_INTERVAL, Store, open_store
 from gentianworks.tests.fixtures import build_state
 
 
@@ -146,6 +146,20 @@
         assert [entry.position.index for entry in contents.entries] == [1, 2]
 
 
+class TestStart:
+    def test_on_a_full_disk_tells_folder_and_remedy(
+        self, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        def fail(path: Path, data: bytes) -> None:
+            raise OSError(errno.ENOSPC, "No space is left.")
+
+        monkeypatch.setattr(journal_module, "replace_file", fail)
+        opened = open_store(str(tmp_path))
+        assert opened.is_error()
+        assert str(tmp_path) in str(opened.error)
+        assert "free space" in str(opened.error)
+
+
 class TestSnapshotChunks:
     """A host that catches up is sent the snapshot while it waits for space."""
 
