Count against a limit only what was sent while it was in force

Where all replicas of a service limit their requests, a rank may use what the more urgent calls of the last 4 s leave. The calls that it sent in that time to replicas without a limit counted too, so less urgent callers were refused for up to 4 s after the last replica had named one, though shares were free. Found by reading; the new test failed before (the ordinary call was refused).

Only requests to a replica whose limit applies to all calls count now.

--- a/gentianworks/core/gateway/limit_checks.py
+++ b/gentianworks/core/gateway/limit_checks.py
@@ -27,7 +27,7 @@
     exchange: GatewayExchange, replica: Replica, gateway: GatewayState, now: float
 ) -> None:
     """Count a request against its replica's limit."""
-    if gateway.limits.is_empty():
+    if not gateway.limits.is_in_force(replica.name, now):
         return
     gateway.limits.record_sent(replica.name, now)
     demand = gateway.rank_demands.setdefault(exchange.service, RankDemand())
--- a/gentianworks/core/gateway/limit_shares.py
+++ b/gentianworks/core/gateway/limit_shares.py
@@ -26,8 +26,8 @@
 
 
 @frozen
-class Lender:
-    """Router that may get shares; `name` is its peer address."""
+class ShareHolder:
+    """Router that may hold shares; `name` is its peer address."""
 
     name: str
 
@@ -61,7 +61,7 @@
     began_at: float = 0.0
     entries: dict[ReplicaName, LimitEntry] = field(factory=dict)
     ended_at: dict[ReplicaName, float] = field(factory=dict)
-    routers: dict[str, Lender] = field(factory=dict)
+    routers: dict[str, ShareHolder] = field(factory=dict)
     _is_outdated: bool = False
     # Limit and holders by replica, as they are in `version`.
     _assigned: dict[ReplicaName, tuple[float, tuple[str, ...]]] = field(factory=dict)
@@ -81,7 +81,7 @@
         if is_leaving:
             self.remove_router(address)
         elif address not in self.routers:
-            self.routers[address] = Lender(address)
+            self.routers[address] = ShareHolder(address)
             self._is_outdated = True
 
     def remove_router(self, address: str) -> None:
--- a/gentianworks/core/gateway/replica_limits.py
+++ b/gentianworks/core/gateway/replica_limits.py
@@ -167,10 +167,9 @@
         return min(1.0, max(0.0, now - began_at) / TRANSITION_TIME)
 
     def record_sent(self, name: ReplicaName, now: float) -> None:
-        """Use one request of this router's share, if the replica has a limit."""
-        if self.is_in_force(name, now):
-            self._refill(name, now).level -= 1
-            self.renewal_at[name] = now + RENEWAL_TIME
+        """Use one request of this router's share."""
+        self._refill(name, now).level -= 1
+        self.renewal_at[name] = now + RENEWAL_TIME
 
     def is_renewal_due(self, name: ReplicaName, now: float) -> bool:
         """Return whether a replica is to be asked whether its limit still holds."""
--- a/gentianworks/tests/test_replica_limits.py
+++ b/gentianworks/tests/test_replica_limits.py
@@ -331,3 +331,11 @@
     def test_ordinary_calls_use_what_urgent_ones_leave(self) -> None:
         _, ordinary = self.play(build_limited(), urgent=0, ordinary=1)
         assert 55 <= ordinary <= 62
+
+    def test_calls_of_before_the_limit_use_nothing_up(self) -> None:
+        state = build_router(2)
+        lend(state, NOW, 1, engines_1=0.0)
+        assert count_sent(state, NOW, 20, ORDINARY) == 20
+        lend(state, NOW, 2, engines_1=0.0, engines_2=4.0)
+        assert count_sent(state, NOW + 1, 1, URGENT) == 1
+        assert count_sent(state, NOW + 1, 1, ORDINARY) == 1
