--- a/gentianworks/codecs/messages.py
+++ b/gentianworks/codecs/messages.py
@@ -34,7 +34,7 @@
 
     def __init__(self, key: bytes) -> None:
         self._key = key
-        self._union = register_union(Message, create_converter())
+        self._union = register_union(Message, create_converter(), omits_defaults=True)
 
     def encode(self, message: Message, is_compressible: bool = True) -> bytes:
         """Return the signed bytes of a message."""
--- a/gentianworks/codecs/unions.py
+++ b/gentianworks/codecs/unions.py
@@ -11,6 +11,7 @@
 
 from attrs import define, field
 from cattrs import Converter
+from cattrs.gen import make_dict_unstructure_fn
 
 TAG = "_type"
 
@@ -23,10 +24,14 @@
 
 @define
 class TaggedUnion:
-    """Encoder and decoder of the subclasses of an abstract class."""
+    """Encoder and decoder of the subclasses of an abstract class.
+
+    With `omits_defaults`, fields that have their default value are not encoded.
+    """
 
     base: type
     converter: Converter
+    omits_defaults: bool = False
     _classes: dict[str, type] = field(factory=dict)
     _encoders: dict[type, ConversionHook] = field(factory=dict)
     _decoders: dict[str, ConversionHook] = field(factory=dict)
@@ -36,11 +41,18 @@
         kind = type(value)
         encoder = self._encoders.get(kind)
         if encoder is None:
-            encoder = self._encoders[kind] = self.converter.get_unstructure_hook(kind)
+            encoder = self._encoders[kind] = self._create_encoder(kind)
         encoded: dict[str, Any] = encoder(value)
         encoded[TAG] = kind.__name__
         return encoded
 
+    def _create_encoder(self, kind: type) -> ConversionHook:
+        if not self.omits_defaults:
+            return self.converter.get_unstructure_hook(kind)
+        return make_dict_unstructure_fn(
+            kind, self.converter, _cattrs_omit_if_default=True
+        )
+
     def decode(self, encoded: dict[str, Any], _: type | None = None) -> Any:
         """Return an instance of the named class.
 
@@ -76,9 +88,11 @@
         yield from iterate_subclasses(kind)
 
 
-def register_union(base: type, converter: Converter) -> TaggedUnion:
+def register_union(
+    base: type, converter: Converter, omits_defaults: bool = False
+) -> TaggedUnion:
     """Make a converter encode values of type `base` with the name of their class."""
-    union = TaggedUnion(base, converter)
+    union = TaggedUnion(base, converter, omits_defaults)
     converter.register_unstructure_hook_func(lambda kind: kind is base, union.encode)
     converter.register_structure_hook_func(lambda kind: kind is base, union.decode)
     return union
--- a/gentianworks/tests/test_unions.py
+++ b/gentianworks/tests/test_unions.py
@@ -57,3 +57,11 @@
         union = register_union(Shape, Converter())
         assert union.encode(Square(1)) == {"side": 1, "_type": "Square"}
         assert list(union._encoders) == [Square]
+
+    def test_fields_with_their_default_value_can_be_left_out(self) -> None:
+        union = register_union(Shape, Converter(), omits_defaults=True)
+        encoded = union.encode(Cube(1))
+        assert encoded == {"side": 1, "_type": "Cube"}
+        assert union.decode(encoded) == Cube(1)
+        full = union.encode(Cube(1, (Square(2),)))
+        assert union.decode(full) == Cube(1, (Square(2),))
