Log a limit of a replica that can't be read

A limit that is no decimal number was ignored without a word, unless the same answer changed a limit. GW5124 tells it, once for each replica. The new test failed before (no log line).

The times of a limit stand in one class now instead of three dictionaries; nothing else changes by that.

--- a/gentianworks/core/gateway/limit_notices.py
+++ b/gentianworks/core/gateway/limit_notices.py
@@ -5,8 +5,10 @@
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.lifecycle import LogEvent
 from gentianworks.core.events.gateway import ReplicaAnswerHead
+from gentianworks.core.gateway.notices import ReplicaNotices
 from gentianworks.core.gateway.replica_limits import LimitChange
 from gentianworks.core.gateway.replicas import Replica
+from gentianworks.core.gateway.state import GatewayState
 from gentianworks.core.membership.heartbeats import send_heartbeat
 from gentianworks.core.state import State
 
@@ -23,11 +25,22 @@
     is_own = answer.is_signed or answer.is_not_run
     if gateway is None or answer.is_other_replica:
         return []
+    defects = _log_defect(replica, notices, gateway)
     if notices.request_limit is None and not is_own:
-        return []
+        return defects
     change = gateway.limits.record_notices(replica, notices, now)
     if change is None:
-        return []
+        return defects
+    return [
+        *defects,
+        _log_change(replica, change, gateway),
+        *send_heartbeat(state, now),
+    ]
+
+
+def _log_change(
+    replica: Replica, change: LimitChange, gateway: GatewayState
+) -> LogEvent:
     limit = gateway.limits.get_limit(replica.name)
     details = (
         ("replica", replica.name),
@@ -35,7 +48,21 @@
         ("limit", "none" if limit is None else f"{limit:g}"),
         ("change", change.value),
         ("rate", f"{gateway.limits.get_rate(replica.name):.3g}"),
-        ("defect", notices.defect),
     )
     code = "GW5123" if change is LimitChange.ENDED else "GW5122"
-    return [LogEvent(code, details), *send_heartbeat(state, now)]
+    return LogEvent(code, details)
+
+
+def _log_defect(
+    replica: Replica, notices: ReplicaNotices, gateway: GatewayState
+) -> list[Effect]:
+    """Log a limit that can't be read, once for each replica."""
+    if not notices.defect or replica.name in gateway.limits.defective:
+        return []
+    gateway.limits.defective.add(replica.name)
+    details = (
+        ("replica", replica.name),
+        ("address", replica.address),
+        ("defect", notices.defect),
+    )
+    return [LogEvent("GW5124", details)]
--- a/gentianworks/core/gateway/replica_limits.py
+++ b/gentianworks/core/gateway/replica_limits.py
@@ -90,29 +90,40 @@
     heard_at: float  # seconds
 
 
+@define
+class NamingTimes:
+    """When a replica named its limit; times are in seconds.
+
+    `kept_at` is the last time at which it was named no higher than it counts, and
+    `renewal_at` the one at which the replica is to be sent a call, so that its answer
+    tells whether the limit still holds.
+    """
+
+    named_at: float
+    kept_at: float
+    renewal_at: float
+
+
 @define
 class ReplicaLimits:
     """A router's knowledge of the replicas that limit their requests.
 
     `lent` is the leader's table in `version`, `news` what the answers told since.
-    `named_at` is the time in seconds at which a limit was last named, `kept_at` that at
-    which it was last named no higher than it counts, and `began_at` that at which the
-    replica's first limit began, as the leader told it; without that, a limit applies to
-    all calls at once. `renewal_at` is the time at which a limited replica is to be sent
-    a call, so that its answer tells whether the limit still holds.
+    `began_at` is the time in seconds at which the replica's first limit began, as the
+    leader told it; without that, a limit applies to all calls at once.
     """
 
     router: str = ""  # name of this router
     version: ListVersion = field(factory=ListVersion)
     lent: dict[ReplicaName, LentShare] = field(factory=dict)
     news: dict[ReplicaName, LimitNews] = field(factory=dict)
-    named_at: dict[ReplicaName, float] = field(factory=dict)
-    kept_at: dict[ReplicaName, float] = field(factory=dict)
     began_at: dict[ReplicaName, float] = field(factory=dict)
-    renewal_at: dict[ReplicaName, float] = field(factory=dict)
+    # Replicas that named a limit which could not be read.
+    defective: set[ReplicaName] = field(factory=set)
     is_leader_silent: bool = False
     router_count: int = 1
     _tokens: dict[ReplicaName, RequestTokens] = field(factory=dict)
+    _times: dict[ReplicaName, NamingTimes] = field(factory=dict)
 
     def is_empty(self) -> bool:
         """Return whether this router knows of no limit."""
@@ -169,12 +180,21 @@
     def record_sent(self, name: ReplicaName, now: float) -> None:
         """Use one request of this router's share."""
         self._refill(name, now).level -= 1
-        self.renewal_at[name] = now + RENEWAL_TIME
+        self._get_times(name, now).renewal_at = now + RENEWAL_TIME
+
+    def _get_times(self, name: ReplicaName, now: float) -> NamingTimes:
+        """Return the times of a limit, which counts as named now if it is new."""
+        times = self._times.get(name)
+        if times is None:
+            times = self._times[name] = NamingTimes(now, now, now + RENEWAL_TIME)
+        return times
 
     def is_renewal_due(self, name: ReplicaName, now: float) -> bool:
         """Return whether a replica is to be asked whether its limit still holds."""
-        is_due = now >= self.renewal_at.get(name, float("inf"))
-        return is_due and self.is_in_force(name, now) and self._may_use_share(name, now)
+        times = self._times.get(name)
+        if times is None or now < times.renewal_at:
+            return False
+        return self.is_in_force(name, now) and self._may_use_share(name, now)
 
     def compute_wait(self, names: Iterable[ReplicaName], now: float) -> float:
         """Return the seconds until the first of some replicas may get a request."""
@@ -211,37 +231,27 @@
         name, known = replica.name, self.get_limit(replica.name)
         if notices.request_limit is not None:
             limit = max(MIN_LIMIT, notices.request_limit)
-            self.named_at[name] = now
-            self.renewal_at[name] = now + RENEWAL_TIME
-            if known is not None and not self._is_changed(name, limit, known, now):
+            times = self._get_times(name, now)
+            times.named_at = now
+            times.renewal_at = now + RENEWAL_TIME
+            if known is not None and not _is_changed(limit, known, times, now):
                 return None
-            self.kept_at[name] = now
+            times.kept_at = now
             self._refill_all(now)
             self.news[name] = LimitNews(limit, now)
             return LimitChange.NAMED if known is None else LimitChange.CHANGED
         if known is None or notices.defect:
             return None
-        ends_at = self.named_at.get(name, now) + END_DELAY
-        if now < ends_at:
-            self.renewal_at[name] = ends_at
+        times = self._get_times(name, now)
+        if now < times.named_at + END_DELAY:
+            times.renewal_at = times.named_at + END_DELAY
             return None
         self._set_unlimited(name)
         self.news[name] = LimitNews(None, now)
         return LimitChange.ENDED
 
-    def _is_changed(
-        self, name: ReplicaName, limit: float, known: float, now: float
-    ) -> bool:
-        """Return whether a named limit replaces the known one."""
-        if limit > known * (1 + CHANGE_TOLERANCE):
-            return now - self.kept_at.setdefault(name, now) >= RAISE_DELAY
-        self.kept_at[name] = now
-        return limit < known * (1 - CHANGE_TOLERANCE)
-
     def _set_unlimited(self, name: ReplicaName) -> None:
-        self.named_at.pop(name, None)
-        self.kept_at.pop(name, None)
-        self.renewal_at.pop(name, None)
+        self._times.pop(name, None)
         self._tokens.pop(name, None)
 
     def list_reports(self, now: float) -> tuple[ReportedLimit, ...]:
@@ -275,7 +285,8 @@
                 del self.news[name]
 
     def retain_listed(self, names: Container[ReplicaName]) -> None:
-        """Forget when the first limits of replicas began that the list has no more."""
+        """Forget what was known of replicas that the list has no more."""
+        self.defective = {name for name in self.defective if name in names}
         for name in list(self.began_at):
             if name not in names:
                 del self.began_at[name]
@@ -286,8 +297,7 @@
         self.lent = {item.replica: item for item in shares}
         limited = set(self.list_limited())
         for name in limited:
-            self.named_at.setdefault(name, now)
-            self.renewal_at.setdefault(name, now + RENEWAL_TIME)
+            self._get_times(name, now)
         for share in shares:
             began_at = now - share.age
             known = self.began_at.setdefault(share.replica, began_at)
@@ -295,3 +305,11 @@
             self._refill(share.replica, now)
         for name in before - limited:
             self._set_unlimited(name)
+
+
+def _is_changed(limit: float, known: float, times: NamingTimes, now: float) -> bool:
+    """Return whether a named limit replaces the known one."""
+    if limit > known * (1 + CHANGE_TOLERANCE):
+        return now - times.kept_at >= RAISE_DELAY
+    times.kept_at = now
+    return limit < known * (1 - CHANGE_TOLERANCE)
--- a/gentianworks/log.py
+++ b/gentianworks/log.py
@@ -214,6 +214,11 @@
             "Find out why the replica is short of capacity, or add replicas.",
         ),
         CatalogueEntry("GW5123", "A replica no longer limits its requests."),
+        CatalogueEntry(
+            "GW5124",
+            "A replica names a limit of its requests that can't be read.",
+            "Correct the replica that the details name; it counts as without a limit.",
+        ),
         CatalogueEntry("GW5113", "A leader's list of replicas has taken effect."),
         CatalogueEntry(
             "GW5114",
--- a/gentianworks/tests/test_replica_limits.py
+++ b/gentianworks/tests/test_replica_limits.py
@@ -155,6 +155,16 @@
         name_limit(state, None, NOW + 2 * END_DELAY, defect="not a number")
         assert get_limits(state) == {"engines-1": 4.0}
 
+    def test_a_value_that_is_no_number_is_logged_once(self) -> None:
+        state = build_router(1)
+        codes = [
+            item.code
+            for now in (NOW, NOW + 1)
+            for item in name_limit(state, None, now, defect="not a number")
+            if isinstance(item, LogEvent)
+        ]
+        assert codes == ["GW5124"]
+
     def test_an_unsigned_answer_ends_no_limit(self) -> None:
         state = build_limited()
         now = NOW + 2 * END_DELAY
