--- a/review/harness/fleet.py
+++ b/review/harness/fleet.py
@@ -167,6 +167,18 @@
                 continue
         return found
 
+    def note_exits(self) -> None:
+        """Record which programs have ended by themselves, and why."""
+        for machine in self.machines:
+            for role in ("router", "control"):
+                for line in self.read_log(machine, role):
+                    if line.get("event") == "GW1006":
+                        error = str(line.get("traceback", "")).split("\n")[-1]
+                        self.note(f"{machine.name}/{role}: {line['text']} {error}")
+                process = self.processes[f"{machine.name}/{role}"]
+                if process.poll() is not None:
+                    self.note(f"{machine.name}/{role} ended: {process.poll()}")
+
     def send_signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to a process that this fleet started."""
         self.processes[name].send_signal(number)
