--- a/review/harness/fleet.py
+++ b/review/harness/fleet.py
@@ -11,6 +11,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -29,13 +30,24 @@
 LIST_LAG = 0.8  # seconds; `lagMs` of the sheets
 HOST = "cases.example"
 
+# What clients and the operator sent and got, for the record: time, text.
+exchanges: list[tuple[float, str]] = []
+
 
 def find_free_ports(host: str, count: int) -> list[int]:
-    """Return ports that are free at an address."""
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind((host, 0))
-    ports = [item.getsockname()[1] for item in sockets]
+    """Return ports that are free at an address, each with a free one behind it."""
+    sockets: list[socket.socket] = []
+    ports: list[int] = []
+    while len(ports) < count:
+        first, second = socket.socket(), socket.socket()
+        sockets += [first, second]
+        first.bind((host, 0))
+        port = first.getsockname()[1]
+        try:
+            second.bind((host, port + 1))
+        except (OSError, OverflowError):
+            continue
+        ports.append(port)
     for item in sockets:
         item.close()
     return ports
@@ -193,6 +205,18 @@
             process.wait()
         if self._server is not None:
             self._server.close()
+        self._record_details()
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+    def _record_details(self) -> None:
+        """Write to the record what was sent, answered and run, in order of time."""
+        runs = [
+            (x["at"], f"{x['replica']} {x['event']} {x['request']} for {x['tenant']}")
+            for x in self.read_runs()
+        ]
+        with self.record_file.open("a") as file:
+            for at, text in sorted([*exchanges, *runs]):
+                file.write(f"{at - self.started_at:8.3f}   {text}\n")
 
     def _write_settings(self, machine: Machine, role: str, first: bool) -> str:
         data = self.folder / f"{machine.name}-{role}-data"
@@ -222,7 +246,8 @@
 discovery = "cloud"
 entry = "vip"
 heartbeatMs = 1200
-contracts = ["base","drain","config","cost","retry","recover","engine","stream","tenants"]
+contracts = ["base","drain","config","cost","retry","recover",
+  "engine","stream","tenants"]
 configMode = "highest"
 [zones]
 {zones}
@@ -401,15 +426,20 @@
         self, line: str, headers: dict[str, str], body: bytes, timeout: float
     ) -> Answer:
         """Send a request and return the answer; connect first if necessary."""
+        what = f"{line} {headers.get('request-id', '')}".strip()
+        exchanges.append((time.time(), f"{self.address} sent {what}"))
         try:
             async with asyncio.timeout(timeout):
-                return await self._exchange(line, headers, body)
+                answer = await self._exchange(line, headers, body)
         except TimeoutError:
             self.close()
-            return Answer(error="no answer in time")
+            answer = Answer(error="no answer in time")
         except (OSError, EOFError, ValueError) as error:
             self.close()
-            return Answer(error=f"closed ({type(error).__name__})")
+            answer = Answer(error=f"closed ({type(error).__name__})")
+        got = f"{answer.status or ''} {answer.error}".strip()
+        exchanges.append((time.time(), f"{self.address} answered {what}: {got}"))
+        return answer
 
     async def _exchange(
         self, line: str, headers: dict[str, str], body: bytes
@@ -473,6 +503,10 @@
 
     async def run() -> int:
         fleet = Fleet(folder / "record.txt")
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             async with asyncio.timeout(115):
                 held = await case(fleet, os.environ.get("TROUBLE", "1") != "0")
