Refuse a workspace name that no header can carry

Cause: the name is sent to replicas in Tenant-Id, and a header can't begin or end with a space. Only characters that can't be printed were refused, and a space can.

Change: PUT /config answers 400 and names the field, the text and the remedy, also for an empty name, which no replica could tell from a call without a workspace. The check stands apart from the decoding: a document that an earlier version stored is still read, so that a fleet that has one starts, and is acknowledged if it is sent again. A stored document that can't be unpacked no longer ends a router.

Ruled out: trimming the name, since another workspace may have the trimmed name; escaping it, since replicas compare the name with what the operator wrote.

test_a_name_that_no_header_takes_is_rejected expected the decoder to raise. It is replaced by tests of the check, with ten names in place of three, of the decoder, which has to read them, and of the application, which answers 400.

Before: the tests of the application fail (200 instead of 400). After: they pass.

--- a/gentianworks/platform/applications.py
+++ b/gentianworks/platform/applications.py
@@ -34,6 +34,7 @@
     decode_document,
     decode_table,
     encode_document,
+    find_unsendable_texts,
 )
 from gentianworks.process import Process
 from gentianworks.web.answers import (
@@ -226,6 +227,8 @@
             await _send_invalid(str(error), send)
             return
         faults = validate_table(table)
+        if not self._has_stored(table.revision):
+            faults = (*faults, *find_unsendable_texts(table))
         if faults:
             await _send_invalid(" ".join(faults), send)
             return
@@ -235,6 +238,14 @@
             RouteReplacementRequested(exchange, OPERATOR_NAME, document), send, False
         )
 
+    def _has_stored(self, revision: int) -> bool:
+        """Return whether a document of this revision would change nothing.
+
+        A document that an earlier version has accepted may be sent again.
+        """
+        control = self.process.state.control
+        return revision <= control.replicated.configuration.revision
+
     async def _execute(
         self, request: OperatorRequest, send: Send, returns_document: bool
     ) -> None:
--- a/gentianworks/platform/configuration.py
+++ b/gentianworks/platform/configuration.py
@@ -6,6 +6,8 @@
 import math
 import zlib
 from base64 import b85decode, b85encode
+from collections.abc import Iterator
+from itertools import chain
 from typing import Any
 
 from gentianworks.core.gateway.documents import RouteDocument
@@ -23,6 +25,7 @@
 
 COMPRESSION_LEVEL = 6
 MAX_DOCUMENT_BYTES = 16 * 1024 * 1024  # four times the operators' largest document
+MAX_SHOWN_CHARACTERS = 80  # of a text in a message
 MAX_INTEGER = 2**53  # what all JSON parsers keep exactly
 KIND_SAFE = "safe"
 KIND_STREAMING = "streaming"
@@ -40,13 +43,23 @@
 
 
 def decode_document(document: RouteDocument) -> bytes:
-    """Return the body that a document stores."""
-    packed = b85decode(document.content)
-    return zlib.decompressobj().decompress(packed, MAX_DOCUMENT_BYTES)
+    """Return the body that a document stores, or raise DocumentError with the fault."""
+    try:
+        packed = b85decode(document.content)
+        return zlib.decompressobj().decompress(packed, MAX_DOCUMENT_BYTES)
+    except (ValueError, zlib.error) as error:
+        raise DocumentError(
+            f"Stored configuration {document.revision} can't be unpacked ({error}); "
+            f"send a configuration with a higher version."
+        ) from error
 
 
 def decode_table(body: bytes) -> RouteTable:
-    """Return the route table of a body, or raise DocumentError with the fault."""
+    """Return the route table of a body, or raise DocumentError with the fault.
+
+    Texts that can't be sent are decoded too, since a stored document may have some;
+    `find_unsendable_texts` lists them.
+    """
     try:
         document = json.loads(body)
         return RouteTable(
@@ -71,6 +84,58 @@
         ) from error
 
 
+def find_unsendable_texts(table: RouteTable) -> tuple[str, ...]:
+    """Return a message for each text that no message can carry, with the remedy."""
+    return (
+        *chain.from_iterable(
+            _check_route_texts(f"routes[{index}]", route)
+            for index, route in enumerate(table.routes)
+        ),
+        *chain.from_iterable(
+            _check_printable(f"services[{index}].name", service.name)
+            for index, service in enumerate(table.services)
+        ),
+        *chain.from_iterable(
+            _check_header_value(f"tenants[{index}].name", workspace.name)
+            for index, workspace in enumerate(table.workspaces)
+        ),
+    )
+
+
+def _check_route_texts(field: str, route: Route) -> Iterator[str]:
+    yield from _check_printable(f"{field}.name", route.name)
+    yield from _check_printable(f"{field}.host", route.host)
+    yield from _check_printable(f"{field}.pathPrefix", route.path_prefix)
+
+
+def _check_printable(field: str, text: str) -> Iterator[str]:
+    if not text.isprintable():
+        yield (
+            f"{field} is {shorten_text(text)}, which has characters that can't be "
+            f"sent; remove control characters, separators and surrogates."
+        )
+
+
+def _check_header_value(field: str, text: str) -> Iterator[str]:
+    """Check a text that is sent in a header, which ends with its last non-space."""
+    yield from _check_printable(field, text)
+    if not text:
+        yield f"{field} is empty, as for a call without a key; give it a name."
+    elif text != text.strip():
+        yield (
+            f"{field} is {shorten_text(text)}, which begins or ends with a space, and "
+            f"no header keeps it; remove the space."
+        )
+
+
+def shorten_text(text: str) -> str:
+    """Return the representation of a text, cut if it is long."""
+    shown = ascii(text)
+    if len(shown) <= MAX_SHOWN_CHARACTERS:
+        return shown
+    return f"{shown[:MAX_SHOWN_CHARACTERS]}..."
+
+
 def _read_version(value: Any) -> int:
     if isinstance(value, bool) or not isinstance(value, int) or value < 0:
         raise ValueError(f"version is {value!r}, not a non-negative integer")
@@ -93,22 +158,14 @@
     return seconds
 
 
-def _read_text(value: Any) -> str:
-    """Return a text that can be sent in a header."""
-    text = str(value)
-    if not text.isprintable():
-        raise ValueError(f"{text!r} has characters that can't be sent")
-    return text
-
-
 def _decode_route(item: dict[str, Any]) -> Route:
     kind = item["kind"]
     if kind not in ROUTE_KINDS:
         raise ValueError(f"kind is {kind!r}, not one of {sorted(ROUTE_KINDS)}")
     return Route(
-        name=_read_text(item["name"]),
-        host=_read_text(item["host"]).lower(),
-        path_prefix=_read_text(item["pathPrefix"]),
+        name=str(item["name"]),
+        host=str(item["host"]).lower(),
+        path_prefix=str(item["pathPrefix"]),
         shares=_decode_shares(item),
         retry_policy=_decode_retry_policy(kind, bool(item.get("resumeStreams", False))),
         is_stream=kind == KIND_STREAMING,
@@ -124,9 +181,9 @@
 def _decode_shares(item: dict[str, Any]) -> tuple[TrafficShare, ...]:
     split = item.get("trafficSplit")
     if split is None:
-        return (TrafficShare(_read_text(item["service"])),)
+        return (TrafficShare(str(item["service"])),)
     return tuple(
-        TrafficShare(_read_text(part["service"]), _read_integer(part["weight"]))
+        TrafficShare(str(part["service"]), _read_integer(part["weight"]))
         for part in split
     )
 
@@ -149,8 +206,8 @@
         else None
     )
     return GatewayService(
-        name=_read_text(item["name"]),
-        health_path=_read_text(item.get("healthPath", "")),
+        name=str(item["name"]),
+        health_path=str(item.get("healthPath", "")),
         max_connections=_read_integer(item.get("maxConnections", 0)),
         engine=capacity,
     )
@@ -159,7 +216,7 @@
 def _decode_workspace(item: dict[str, Any]) -> WorkspaceKeys:
     rank = item.get("priority")
     return WorkspaceKeys(
-        name=_read_text(item["name"]),
+        name=str(item["name"]),
         key_digests=tuple(digest_key(str(key)) for key in item["apiKeys"]),
         rank=None if rank is None else _read_integer(rank),
     )
--- a/gentianworks/tests/test_platform_applications.py
+++ b/gentianworks/tests/test_platform_applications.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from collections.abc import MutableMapping
 from typing import Any, cast
 
@@ -11,18 +12,28 @@
 from attrs import define, field
 
 from gentianworks.core.effects.gateway import CallReplica
+from gentianworks.core.effects.operators import AnswerOperator
+from gentianworks.core.events.base import Event
 from gentianworks.core.events.gateway import (
     CallExpired,
     ReplicaAnswerEnded,
     ReplicaAnswerHead,
     ReplicaAnswerPiece,
     ReplicaAnswerStarted,
+    RouteReplacementRequested,
 )
+from gentianworks.core.operators.reports import RoutesReport
+from gentianworks.core.types import Configuration
 from gentianworks.metrics import Metrics
 from gentianworks.platform import applications
-from gentianworks.platform.applications import ClientApplication, ReadinessApplication
+from gentianworks.platform.applications import (
+    ClientApplication,
+    ConfigurationApplication,
+    ReadinessApplication,
+)
 from gentianworks.platform.replicas import ReplicaClient
 from gentianworks.process import Process
+from gentianworks.tests.fixtures import build_state
 from gentianworks.tests.gateways import EVENT_STREAM_HEAD, KEY, build_gateway
 
 SCOPE: dict[str, Any] = {
@@ -60,11 +71,12 @@
     received: list[MutableMapping[str, Any]] = field(factory=list)
     disconnected: anyio.Event = field(factory=anyio.Event)
     has_sent_body: bool = False
+    body: bytes = b"{}"
 
     async def receive(self) -> MutableMapping[str, Any]:
         if not self.has_sent_body:
             self.has_sent_body = True
-            return {"type": "http.request", "body": b"{}", "more_body": False}
+            return {"type": "http.request", "body": self.body, "more_body": False}
         await self.disconnected.wait()
         return {"type": "http.disconnect"}
 
@@ -152,3 +164,62 @@
                 statuses.append(client.received[0]["status"])
             tasks.cancel_scope.cancel()
         assert statuses == [200, 503]
+
+
+@define
+class AcceptingProcess(Process):
+    """Process that acknowledges each replacement of the routes."""
+
+    accepted: list[int] = field(factory=list)  # revisions
+
+    def handle(self, event: Event) -> None:
+        assert isinstance(event, RouteReplacementRequested)
+        self.accepted.append(event.document.revision)
+        answer = AnswerOperator(event.exchange, RoutesReport(event.document))
+        self.outboxes[event.exchange].put(answer)
+
+
+class TestConfigurationApplication:
+    """A name that no header carries is refused, unless it has been accepted before."""
+
+    async def put(self, process: Process, name: str, version: int) -> tuple[int, bytes]:
+        """Send a configuration with one workspace; return the status and the body."""
+        document = {
+            "version": version,
+            "routes": [],
+            "services": [],
+            "limits": {
+                "maxHeaderBytes": 16384,
+                "maxBodyBytes": 4194304,
+                "headerTimeoutMs": 3000,
+                "idleTimeoutMs": 15000,
+            },
+            "tenants": [{"name": name, "apiKeys": ["k"]}],
+        }
+        client = Client(body=json.dumps(document).encode())
+        scope = {**SCOPE, "method": "PUT", "path": "/config"}
+        send = cast(Any, client.send)
+        await ConfigurationApplication(process)(scope, client.receive, send)
+        head, body = client.received
+        return head["status"], body["body"]
+
+    @pytest.mark.anyio
+    async def test_a_name_with_a_space_at_an_end_is_refused(self) -> None:
+        async with anyio.create_task_group() as tasks:
+            process = AcceptingProcess(build_state(), tasks)
+            for name in ("Cumann Staire ", " Cumann Staire"):
+                status, body = await self.put(process, name, 9)
+                assert status == 400
+                assert b"tenants[0].name" in body
+                assert b"Cumann Staire" in body
+                assert b"remove the space" in body
+        assert process.accepted == []
+
+    @pytest.mark.anyio
+    async def test_a_stored_document_is_acknowledged_again(self) -> None:
+        async with anyio.create_task_group() as tasks:
+            process = AcceptingProcess(build_state(), tasks)
+            process.state.control.replicated.configuration = Configuration(revision=9)
+            assert (await self.put(process, "Cumann Staire ", 9))[0] == 200
+            assert (await self.put(process, "Cumann Staire ", 10))[0] == 400
+        assert process.accepted == [9]
--- a/gentianworks/tests/test_platform_messages.py
+++ b/gentianworks/tests/test_platform_messages.py
@@ -18,6 +18,7 @@
     decode_document,
     decode_table,
     encode_document,
+    find_unsendable_texts,
 )
 from gentianworks.platform.replica_listing import ListingError, decode_page
 from gentianworks.platform.replicas import decode_answer, encode_head
@@ -69,6 +70,20 @@
 }
 
 
+UNSENDABLE_NAMES = (
+    "Cumann Staire ",
+    " Cumann Staire",
+    " ",
+    "",
+    "a\tb",
+    "a\r\nx: y",
+    "\ud800",
+    "\0",
+    "a\u2003",
+    "a\x7f",
+)
+
+
 def change(path: str, value: Any) -> dict[str, Any]:
     """Return the document with one field changed; dots separate the keys of `path`."""
     document: Any = json.loads(json.dumps(DOCUMENT))
@@ -83,7 +98,8 @@
 
 def list_faults(document: dict[str, Any]) -> tuple[str, ...]:
     """Return the faults of a document."""
-    return validate_table(decode_table(json.dumps(document).encode()))
+    table = decode_table(json.dumps(document).encode())
+    return (*validate_table(table), *find_unsendable_texts(table))
 
 
 class TestConfiguration:
@@ -155,11 +171,43 @@
         with pytest.raises(DocumentError):
             decode_table(json.dumps(change("version", version)).encode())
 
-    @pytest.mark.parametrize("name", ["a\r\nx: y", "\ud800", "\0"])
-    def test_a_name_that_no_header_takes_is_rejected(self, name: str) -> None:
-        tenants = [{"name": name, "apiKeys": ["k"]}]
-        with pytest.raises(DocumentError):
-            decode_table(json.dumps(change("tenants", tenants)).encode())
+    @pytest.mark.parametrize("name", UNSENDABLE_NAMES)
+    def test_a_name_that_no_header_takes_is_named_with_its_field(
+        self, name: str
+    ) -> None:
+        """A router ended at each call of a workspace whose name ends with a space."""
+        tenants = [*DOCUMENT["tenants"], {"name": name, "apiKeys": ["k"]}]
+        faults = list_faults(change("tenants", tenants))
+        assert faults
+        assert all("tenants[1].name" in fault for fault in faults)
+
+    @pytest.mark.parametrize("name", UNSENDABLE_NAMES)
+    def test_a_stored_document_with_such_a_name_is_still_read(self, name: str) -> None:
+        tenants = [*DOCUMENT["tenants"], {"name": name, "apiKeys": ["k"]}]
+        table = decode_table(json.dumps(change("tenants", tenants)).encode())
+        assert len(table.routes) == len(DOCUMENT["routes"])
+        assert [item.name for item in table.workspaces] == ["parish", name]
+
+    @pytest.mark.parametrize(
+        ("path", "field"),
+        [
+            ("routes.0.name", "routes[0].name"),
+            ("routes.1.host", "routes[1].host"),
+            ("routes.0.pathPrefix", "routes[0].pathPrefix"),
+            ("services.1.name", "services[1].name"),
+        ],
+    )
+    def test_a_text_with_control_characters_is_named_with_its_field(
+        self, path: str, field: str
+    ) -> None:
+        assert any(field in fault for fault in list_faults(change(path, "a\tb")))
+
+    def test_names_in_any_script_are_accepted(self) -> None:
+        tenants = [
+            {"name": name, "apiKeys": [f"k-{number}"]}
+            for number, name in enumerate(("Tŷ Ŵyn", "☃", 'o\'brien "x"', "a" * 20_000))
+        ]
+        assert not list_faults(change("tenants", tenants))
 
     def test_a_name_in_any_script_reaches_the_replica(self) -> None:
         (replica,) = build_replicas("engines", 1, 4)
