Contain the failure of an effect to the request that it serves

Cause: the process performs the effects of an event in one go, and an exception in any of them ended the process. That is right where state or storage may be half changed, but not where an effect sends what a caller, an operator or the platform chose. On a new connection the same exception was reported as a call that was not sent, which counted as a failure of each sound replica that was tried.

Change: contain_failure, a singledispatch function like perform, limits the failure of an effect to what it concerns; by default the process still ends.

Ruled out: containing all effects, since a lost timer leaves calls hanging and an entry that is not stored must not be acted on.

Before: the two tests of calls fail (the process would exit with 70).

--- a/gentianworks/core/events/gateway.py
+++ b/gentianworks/core/events/gateway.py
@@ -123,11 +123,16 @@
 
 
 class ReplicaFailure(Enum):
-    """Ways in which a call to a replica can fail."""
+    """Ways in which a call to a replica can fail.
+
+    No replica is to blame for the last one, and no other can be tried: the router
+    itself has failed, and the call may have been sent.
+    """
 
     NOT_SENT = "not-sent"
     CUT = "cut"
     MALFORMED = "malformed"
+    INTERNAL = "internal"
 
 
 @frozen
--- a/gentianworks/core/gateway/attempts.py
+++ b/gentianworks/core/gateway/attempts.py
@@ -280,6 +280,8 @@
         return []
     if event.failure is ReplicaFailure.MALFORMED:
         return _fail_defective_attempt(exchange, event.detail, state, now)
+    if event.failure is ReplicaFailure.INTERNAL:
+        return _fail_blameless_attempt(exchange, event, gateway, now)
     is_unsent = event.failure is ReplicaFailure.NOT_SENT
     run_state = RunState.NOT_RUN if is_unsent else RunState.UNKNOWN
     lost: list[Effect] = []
@@ -300,6 +302,29 @@
     return [*lost, *failed]
 
 
+def _fail_blameless_attempt(
+    exchange: GatewayExchange,
+    event: ReplicaCallFailed,
+    gateway: GatewayState,
+    now: float,
+) -> list[Effect]:
+    """End a call that would fail at any replica, and blame none of them."""
+    details = (
+        *describe_call(exchange, gateway, now),
+        ("failure", event.failure.value),
+        ("cause", event.detail),
+    )
+    problem = Problem(
+        ProblemKind.ENDPOINT_FAILED,
+        f"The router could not send the call: {event.detail}.",
+        RunState.UNKNOWN,
+    )
+    return [
+        LogEvent("GW5125", details),
+        *fail_call(exchange, problem, gateway, now),
+    ]
+
+
 def handle_failed_attempt(
     exchange: GatewayExchange,
     run_state: RunState,
--- a/gentianworks/log.py
+++ b/gentianworks/log.py
@@ -61,6 +61,11 @@
             "The settings of the platform are invalid.",
             "Follow the remedy in the details.",
         ),
+        CatalogueEntry(
+            "GW1011",
+            "An effect failed, and only what it concerned; the process continues.",
+            "Report the traceback.",
+        ),
         CatalogueEntry("GW2001", "This control host has become the leader."),
         CatalogueEntry("GW2002", "This control host is no longer the leader."),
         CatalogueEntry("GW2003", "The members of the control group have changed."),
@@ -219,6 +224,11 @@
             "A replica names a limit of its requests that can't be read.",
             "Correct the replica that the details name; it counts as without a limit.",
         ),
+        CatalogueEntry(
+            "GW5125",
+            "A call could not be sent, for a reason that no replica is to blame for.",
+            "Correct the header or the workspace name that the details name.",
+        ),
         CatalogueEntry("GW5113", "A leader's list of replicas has taken effect."),
         CatalogueEntry(
             "GW5114",
--- a/gentianworks/metrics.py
+++ b/gentianworks/metrics.py
@@ -27,7 +27,7 @@
 from gentianworks.core.types import Role
 from gentianworks.labels import OTHER, LabelLimiter
 from gentianworks.peers.sockets import PeerSockets
-from gentianworks.process import Process, perform
+from gentianworks.process import Process, contain_failure, perform
 
 LATENCY_BUCKETS = (0.01, 0.05, 0.1, 0.25, 0.5, 0.7, 1, 2, 5, 10, 30, 120, float("inf"))
 
@@ -299,3 +299,15 @@
     labels = metrics.build_labels(service=effect.service, workspace=effect.workspace)
     metrics.prompt_tokens.add(labels, usage.prompt_tokens)
     metrics.cached_tokens.add(labels, usage.cached_tokens)
+
+
+def _log_lost_sample(
+    effect: CountRequest | CountAttempt | ObserveLatency | CountTokens,
+    process: Process,
+    error: Exception,
+) -> None:
+    process.log_failed_effect(effect)
+
+
+for _kind in (CountRequest, CountAttempt, ObserveLatency, CountTokens):
+    contain_failure.register(_kind, _log_lost_sample)
--- a/gentianworks/peers/sockets.py
+++ b/gentianworks/peers/sockets.py
@@ -18,7 +18,7 @@
 from gentianworks.core.effects.lifecycle import SendMessage
 from gentianworks.core.events.base import Message
 from gentianworks.labels import OTHER, PeerTraffic
-from gentianworks.process import Process, perform
+from gentianworks.process import Process, contain_failure, perform
 
 SEND_BUFFER_MESSAGES = 256
 RECEIVE_BUFFER_MESSAGES = 1024
@@ -193,3 +193,9 @@
     process.get_adapter(PeerSockets).send(
         effect.address, effect.message, process.clock.read()
     )
+
+
+@contain_failure.register
+def _(effect: SendMessage, process: Process, error: Exception) -> None:
+    # No sender relies on the delivery of a message.
+    process.log_failed_effect(effect, type(effect.message).__name__)
--- a/gentianworks/platform/replica_listing.py
+++ b/gentianworks/platform/replica_listing.py
@@ -14,7 +14,7 @@
 from gentianworks.core.effects.gateway import FetchReplicas
 from gentianworks.core.events.gateway import ReplicaListFailed, ReplicaListFetched
 from gentianworks.core.gateway.replicas import Replica
-from gentianworks.process import Process, perform
+from gentianworks.process import Process, contain_failure, perform
 from gentianworks.web.connections import (
     Connection,
     ConnectionFailure,
@@ -264,3 +264,9 @@
 
     failure = ReplicaListFailed("the call ended unexpectedly")
     process.start_call("listing", run, failure)
+
+
+@contain_failure.register
+def _(effect: FetchReplicas, process: Process, error: Exception) -> None:
+    process.log_failed_effect(effect)
+    process.handle(ReplicaListFailed("the call could not be started"))
--- a/gentianworks/platform/replicas.py
+++ b/gentianworks/platform/replicas.py
@@ -33,7 +33,7 @@
 from gentianworks.core.types import AttemptId, Header
 from gentianworks.platform import header_names
 from gentianworks.platform.notices import decode_notices
-from gentianworks.process import Process, perform
+from gentianworks.process import Process, contain_failure, perform
 from gentianworks.web.connections import (
     Connection,
     ConnectionFailure,
@@ -151,10 +151,7 @@
         async def connect() -> None:
             await self._connect(effect, process)
 
-        failure = ReplicaCallFailed(
-            effect.attempt, ReplicaFailure.NOT_SENT, "the connection was not made"
-        )
-        process.start_call(effect.attempt, connect, failure)
+        process.start_call(effect.attempt, connect, _build_internal_failure(effect))
 
     async def _connect(self, effect: CallReplica, process: Process) -> None:
         try:
@@ -268,16 +265,39 @@
     return RequestHead(call.method, call.path, tuple(encoded))
 
 
+def _build_internal_failure(effect: CallReplica) -> ReplicaCallFailed:
+    detail = "an unexpected error occurred; retry later if the call is safe to repeat"
+    return ReplicaCallFailed(effect.attempt, ReplicaFailure.INTERNAL, detail)
+
+
 @perform.register
 def _(effect: CallReplica, process: Process) -> None:
     process.get_adapter(ReplicaClient).call(effect, process)
 
 
+@contain_failure.register
+def _(effect: CallReplica, process: Process, error: Exception) -> None:
+    process.log_failed_effect(effect, effect.call.request_id)
+    process.get_adapter(ReplicaClient).cancel(effect.attempt, process)
+    process.handle(_build_internal_failure(effect))
+
+
 @perform.register
 def _(effect: CheckReplica, process: Process) -> None:
     process.get_adapter(ReplicaClient).check(effect, process)
 
 
+@contain_failure.register
+def _(effect: CheckReplica, process: Process, error: Exception) -> None:
+    process.log_failed_effect(effect, effect.replica.name)
+    process.handle(ReplicaChecked(effect.replica.name, is_refused=False))
+
+
 @perform.register
 def _(effect: CancelReplicaCall, process: Process) -> None:
     process.get_adapter(ReplicaClient).cancel(effect.attempt, process)
+
+
+@contain_failure.register
+def _(effect: CancelReplicaCall, process: Process, error: Exception) -> None:
+    process.log_failed_effect(effect, effect.attempt)
--- a/gentianworks/process.py
+++ b/gentianworks/process.py
@@ -1,8 +1,10 @@
 """Process: the event loop that reduces events and performs their effects.
 
-An unexpected exception in a call ends only that call, and is reported as an event. If
-reducing an event or performing an effect fails, the process exits immediately, as in a
-crash: its state may be partly updated, and all other processes tolerate its loss.
+An unexpected exception in a call ends only that call, and is reported as an event. An
+effect that serves one request, or that may be lost, fails alone (`contain_failure`). If
+reducing an event or performing any other effect fails, the process exits immediately,
+as in a crash: its state may be partly updated, and all other processes tolerate its
+loss.
 """
 
 from __future__ import annotations
@@ -103,7 +105,18 @@
         effects = reduce(event, self.state, now)
         metric_effects = derive_metrics(event, effects, self.state.open_spans, now)
         for effect in (*effects, *metric_effects):
+            self._perform(effect)
+
+    def _perform(self, effect: Effect) -> None:
+        try:
             perform(effect, self)
+        except Exception as error:
+            contain_failure(effect, self, error)
+
+    def log_failed_effect(self, effect: Effect, subject: str = "") -> None:
+        """Log the current exception of an effect and what the effect concerned."""
+        details = (("effect", type(effect).__name__), ("subject", subject))
+        logger.error("GW1011", exc_info=True, extra={"details": details})
 
     def fail(
         self,
@@ -175,6 +188,21 @@
     )
 
 
+@singledispatch
+def contain_failure(effect: Effect, process: Process, error: Exception) -> None:
+    """Limit the failure of an effect to what it concerns, or raise the error.
+
+    An error that is raised ends the process. Functions are registered for effects that
+    send what callers, operators or replicas have chosen.
+    """
+    raise error
+
+
+@contain_failure.register
+def _(effect: LogEvent, process: Process, error: Exception) -> None:
+    process.log_failed_effect(effect, effect.code)
+
+
 @perform.register
 def _(effect: SetTimer, process: Process) -> None:
     delay = max(0.0, effect.due_at - process.clock.read())
--- /dev/null
+++ b/gentianworks/tests/test_failed_effects.py
@@ -0,0 +1,190 @@
+"""Tests of effects that fail: which end the process, and what the others cost."""
+
+from __future__ import annotations
+
+import logging
+from typing import Any, cast
+
+import pytest
+from anyio.abc import TaskGroup
+
+from gentianworks.codecs.messages import MessageCodec
+from gentianworks.core.effects.base import Effect
+from gentianworks.core.effects.callers import FinishAnswer, RefuseRequest
+from gentianworks.core.effects.gateway import (
+    CallReplica,
+    CancelReplicaCall,
+    CheckReplica,
+    DecodeRoutes,
+    FetchReplicas,
+)
+from gentianworks.core.effects.lifecycle import (
+    LogEvent,
+    SendMessage,
+    SetTimer,
+    StopProcess,
+)
+from gentianworks.core.effects.metrics import (
+    CountAttempt,
+    CountRequest,
+    CountTokens,
+    ObserveLatency,
+)
+from gentianworks.core.effects.replication import (
+    DecodeSnapshot,
+    ReadSnapshotChunk,
+    SaveSnapshot,
+    WriteJournal,
+)
+from gentianworks.core.events.base import Event
+from gentianworks.core.events.configuration import ConfigurationWanted
+from gentianworks.core.types import RunState
+from gentianworks.peers.sockets import PeerSockets
+from gentianworks.platform import applications, replica_listing, replicas
+from gentianworks.process import Process, contain_failure, perform
+from gentianworks.tests.faulty_replicas import (
+    FaultyReplica,
+    build_answer,
+    join_body,
+    run_router,
+    send,
+)
+from gentianworks.tests.fixtures import build_state
+from gentianworks.tests.gateways import get_gateway
+
+assert applications
+assert replica_listing  # register the functions that perform effects
+
+OWN = build_answer("$ID", b"own answer")
+PAY: dict[str, Any] = {"path": "/pay/1", "prompt": (), "timeout": 1.5}
+CONTAINED_EFFECTS = {
+    CallReplica,
+    CancelReplicaCall,
+    CheckReplica,
+    CountAttempt,
+    CountRequest,
+    CountTokens,
+    FetchReplicas,
+    LogEvent,
+    ObserveLatency,
+    SendMessage,
+}
+# All requests depend on what these change or read.
+ENDING_EFFECTS = {
+    DecodeRoutes,
+    DecodeSnapshot,
+    ReadSnapshotChunk,
+    SaveSnapshot,
+    SetTimer,
+    StopProcess,
+    WriteJournal,
+}
+# Their functions put a part into a queue, or start or cancel a call whose exceptions
+# end only that call; they handle nothing that others have chosen.
+GUARDED_MODULES = {
+    "callers",
+    "cache",
+    "dispatch",
+    "engines",
+    "membership",
+    "operators",
+    "orders",
+}
+
+
+def fail_in_process(effect: Effect, process: Process) -> None:
+    """Perform an effect as the process does after it has reduced an event."""
+    process._perform(effect)
+
+
+class TestContainment:
+    def test_each_effect_is_contained_or_ends_the_process_on_purpose(self) -> None:
+        for kind in Effect.__subclasses__():
+            module = kind.__module__.rpartition(".")[2]
+            if module in GUARDED_MODULES or "tests" in kind.__module__:
+                continue
+            ends_process = contain_failure.dispatch(Effect)
+            is_contained = contain_failure.dispatch(kind) is not ends_process
+            assert is_contained == (kind in CONTAINED_EFFECTS), kind
+            assert is_contained != (kind in ENDING_EFFECTS), kind
+
+    @pytest.mark.parametrize(
+        "effect",
+        [
+            LogEvent(cast(str, [])),  # not a code
+            CountRequest("s", "w", "r", "ok"),  # the metrics are missing
+            SendMessage("tcp://127.0.0.1:9", ConfigurationWanted("\ud800", 1, "")),
+        ],
+    )
+    def test_a_lost_line_sample_or_message_ends_nothing(
+        self, effect: Effect, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        process = Process(build_state(), cast(TaskGroup, None))
+        peers = PeerSockets("tcp://127.0.0.1:9", MessageCodec(b"key"))
+        process.add_adapter(peers)
+        fail_in_process(effect, process)
+        peers.close()
+        (record,) = caplog.records
+        assert record.getMessage() == "GW1011"
+        assert record.levelno == logging.ERROR
+        assert type(effect).__name__ in str(record.__dict__["details"])
+
+    def test_an_effect_that_all_requests_need_ends_the_process(self) -> None:
+        process = Process(build_state(), cast(TaskGroup, None))
+        with pytest.raises(RuntimeError):
+            fail_in_process(SetTimer(0.0, cast(Event, None)), process)
+
+
+class TestFailedCalls:
+    """An exception while one call was sent ended the router with all its calls."""
+
+    @pytest.mark.anyio
+    async def test_only_the_call_that_fails_is_answered_with_a_failure(
+        self, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        encode = replicas.encode_head
+
+        def encode_or_fail(effect: CallReplica) -> Any:
+            if effect.call.request_id == "bad":
+                raise ZeroDivisionError("a fault of the encoder")
+            return encode(effect)
+
+        monkeypatch.setattr(replicas, "encode_head", encode_or_fail)
+        replica = FaultyReplica([send(OWN)] * 4)
+        async with run_router(replica, service="books") as router:
+            # The first call opens a connection; the second one finds it idle.
+            for request_id in ("r1", "bad", "r2", "bad", "bad", "r3"):
+                parts = await router.call(request_id, **PAY)
+                if request_id != "bad":
+                    assert join_body(parts) == b"own answer"
+                    assert isinstance(parts[-1], FinishAnswer)
+                    continue
+                refused = parts[-1]
+                assert isinstance(refused, RefuseRequest)
+                assert refused.problem.run_state is RunState.UNKNOWN
+            gateway = get_gateway(router.process.state)
+            assert not gateway.exchanges
+            assert not gateway.exchange_of_attempt
+            assert gateway.registry.get_load("i-0").own_calls == 0
+            assert not gateway.backoff.failures
+        codes = [item.getMessage() for item in caplog.records]
+        assert codes.count("GW5125") == 3
+
+    @pytest.mark.anyio
+    async def test_a_call_in_flight_goes_on(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        def fail(effect: Effect, process: Process) -> None:
+            raise ZeroDivisionError("a fault of the client")
+
+        replica = FaultyReplica([send(OWN)] * 2)
+        async with run_router(replica, service="books") as router:
+            assert join_body(await router.call("r1", **PAY)) == b"own answer"
+            call = perform.dispatch(CallReplica)
+            perform.register(CallReplica, fail)
+            try:
+                parts = await router.call("r2", **PAY)
+            finally:
+                perform.register(CallReplica, call)
+            assert isinstance(parts[-1], RefuseRequest)
+            assert join_body(await router.call("r3", **PAY)) == b"own answer"
