Encode a call before a connection is taken, and blame no replica for it

Callers saw: calls of a workspace whose name no header carries were tried at up to four replicas on new connections, each counted as a failure of that replica, so that sound replicas were skipped for the calls of all other workspaces; an idle connection was taken for nothing.

Cause: the head was encoded only once a connection was there, and any error then was reported as a call that the replica didn't get.

Change: the head is encoded and checked first. If HTTP can't carry it, the call is refused at once as not run (ReplicaFailure.UNSENDABLE, problem "unsendable", 503 without a Retry-After, since no retry can help before the configuration changes), no replica is tried or blamed, and GW5125 names the header.

The check adds no second encoding: the encoded head is kept and sent.

--- a/gentianworks/codecs/problems.py
+++ b/gentianworks/codecs/problems.py
@@ -37,6 +37,7 @@
     ProblemKind.NOT_READY: 503,
     ProblemKind.NO_ENDPOINT: 503,
     ProblemKind.OVERLOADED: 503,
+    ProblemKind.UNSENDABLE: 503,
     ProblemKind.DEADLINE_PASSED: 504,
 }
 
--- a/gentianworks/core/events/gateway.py
+++ b/gentianworks/core/events/gateway.py
@@ -125,13 +125,14 @@
 class ReplicaFailure(Enum):
     """Ways in which a call to a replica can fail.
 
-    No replica is to blame for the last one, and no other can be tried: the router
-    itself has failed, and the call may have been sent.
+    No replica is to blame for the last two, and no other one can be tried: nothing can
+    carry the call, or the router itself has failed and may have sent it.
     """
 
     NOT_SENT = "not-sent"
     CUT = "cut"
     MALFORMED = "malformed"
+    UNSENDABLE = "unsendable"
     INTERNAL = "internal"
 
 
--- a/gentianworks/core/gateway/attempts.py
+++ b/gentianworks/core/gateway/attempts.py
@@ -34,6 +34,7 @@
 
 MAX_UNSENT_ATTEMPTS = 3  # unreachable replicas per call, besides its max_attempts
 MIN_FAILURE_STATUS = 500
+BLAMELESS_FAILURES = frozenset({ReplicaFailure.UNSENDABLE, ReplicaFailure.INTERNAL})
 NOT_RUN_STATUSES = frozenset(
     {408, 421, 429, 503}
 )  # a caller infers "not run" from them
@@ -280,7 +281,7 @@
         return []
     if event.failure is ReplicaFailure.MALFORMED:
         return _fail_defective_attempt(exchange, event.detail, state, now)
-    if event.failure is ReplicaFailure.INTERNAL:
+    if event.failure in BLAMELESS_FAILURES:
         return _fail_blameless_attempt(exchange, event, gateway, now)
     is_unsent = event.failure is ReplicaFailure.NOT_SENT
     run_state = RunState.NOT_RUN if is_unsent else RunState.UNKNOWN
@@ -314,10 +315,11 @@
         ("failure", event.failure.value),
         ("cause", event.detail),
     )
+    is_unsent = event.failure is ReplicaFailure.UNSENDABLE
     problem = Problem(
-        ProblemKind.ENDPOINT_FAILED,
+        ProblemKind.UNSENDABLE if is_unsent else ProblemKind.ENDPOINT_FAILED,
         f"The router could not send the call: {event.detail}.",
-        RunState.UNKNOWN,
+        RunState.NOT_RUN if is_unsent else RunState.UNKNOWN,
     )
     return [
         LogEvent("GW5125", details),
--- a/gentianworks/core/types.py
+++ b/gentianworks/core/types.py
@@ -234,6 +234,7 @@
     ORDER_REUSED = "order-reused"
     TOO_MANY_ORDERS = "too-many-orders"
     INVALID_CONFIGURATION = "invalid-configuration"
+    UNSENDABLE = "unsendable"
 
 
 @frozen
--- a/gentianworks/platform/replicas.py
+++ b/gentianworks/platform/replicas.py
@@ -39,6 +39,7 @@
     ConnectionFailure,
     ConnectionPool,
     RequestHead,
+    UnsendableRequestError,
 )
 
 logger = logging.getLogger("gentianworks")
@@ -139,21 +140,30 @@
 
     def call(self, effect: CallReplica, process: Process) -> None:
         """Send a call on an idle connection, or connect first."""
+        try:
+            head = encode_head(effect)
+            head.check()
+        except UnsendableRequestError as error:
+            failure = ReplicaFailure.UNSENDABLE
+            process.handle(ReplicaCallFailed(effect.attempt, failure, str(error)))
+            return
         now = asyncio.get_running_loop().time()
         is_careful = effect.retry_policy is RetryPolicy.AT_MOST_ONCE
         connection = self.pool.borrow(
             effect.replica.address, now, is_careful, effect.call.request_id
         )
         if connection is not None:
-            self._send(effect, connection, process)
+            self._send(effect, head, connection, process)
             return
 
         async def connect() -> None:
-            await self._connect(effect, process)
+            await self._connect(effect, head, process)
 
         process.start_call(effect.attempt, connect, _build_internal_failure(effect))
 
-    async def _connect(self, effect: CallReplica, process: Process) -> None:
+    async def _connect(
+        self, effect: CallReplica, head: RequestHead, process: Process
+    ) -> None:
         try:
             connection = await self.pool.connect(effect.replica.address)
         except (OSError, TimeoutError) as error:
@@ -161,16 +171,18 @@
             failed = ReplicaCallFailed(effect.attempt, ReplicaFailure.NOT_SENT, detail)
             process.handle(failed)
         else:
-            self._send(effect, connection, process)
+            self._send(effect, head, connection, process)
 
     def _send(
-        self, effect: CallReplica, connection: Connection, process: Process
+        self,
+        effect: CallReplica,
+        head: RequestHead,
+        connection: Connection,
+        process: Process,
     ) -> None:
         self._connections[effect.attempt] = connection
         reader = AnswerReader(effect, process, connection, self)
-        connection.send(
-            encode_head(effect), effect.call.body, reader, effect.call.request_id
-        )
+        connection.send(head, effect.call.body, reader, effect.call.request_id)
 
     def check(self, effect: CheckReplica, process: Process) -> None:
         """Report whether a replica refuses a connection; keep one that it accepts."""
@@ -242,7 +254,10 @@
 
 
 def encode_head(effect: CallReplica) -> RequestHead:
-    """Return the request head of a call to a replica."""
+    """Return the request head of a call to a replica.
+
+    Raises UnsendableRequestError if a text can't be encoded.
+    """
     call = effect.call
     headers = [(item.name, item.value) for item in call.headers]
     headers += [
@@ -259,12 +274,21 @@
         headers.append((header_names.KV_FETCH, effect.source.address))
     if call.body or call.method not in {"GET", "HEAD", "DELETE"}:
         headers.append(("content-length", str(len(call.body))))
-    encoded = [(name.encode(), value.encode("latin-1")) for name, value in headers]
+    encoded = [(name.encode(), _encode_value(name, value)) for name, value in headers]
     if effect.workspace:
-        encoded.append((header_names.TENANT_ID.encode(), effect.workspace.encode()))
+        name = header_names.TENANT_ID
+        value = _encode_value(name, effect.workspace, "utf-8")
+        encoded.append((name.encode(), value))
     return RequestHead(call.method, call.path, tuple(encoded))
 
 
+def _encode_value(name: str, value: str, encoding: str = "latin-1") -> bytes:
+    try:
+        return value.encode(encoding)
+    except UnicodeEncodeError as error:
+        raise UnsendableRequestError(f"the header {name!r}: {error}") from error
+
+
 def _build_internal_failure(effect: CallReplica) -> ReplicaCallFailed:
     detail = "an unexpected error occurred; retry later if the call is safe to repeat"
     return ReplicaCallFailed(effect.attempt, ReplicaFailure.INTERNAL, detail)
--- a/gentianworks/tests/test_failed_effects.py
+++ b/gentianworks/tests/test_failed_effects.py
@@ -7,6 +7,7 @@
 
 import pytest
 from anyio.abc import TaskGroup
+from attrs import evolve
 
 from gentianworks.codecs.messages import MessageCodec
 from gentianworks.core.effects.base import Effect
@@ -38,9 +39,11 @@
 )
 from gentianworks.core.events.base import Event
 from gentianworks.core.events.configuration import ConfigurationWanted
-from gentianworks.core.types import RunState
+from gentianworks.core.gateway.route_table import WorkspaceKeys, digest_key
+from gentianworks.core.types import Problem, ProblemKind, RunState
 from gentianworks.peers.sockets import PeerSockets
 from gentianworks.platform import applications, replica_listing, replicas
+from gentianworks.platform.calls import encode_problem
 from gentianworks.process import Process, contain_failure, perform
 from gentianworks.tests.faulty_replicas import (
     FaultyReplica,
@@ -50,7 +53,7 @@
     send,
 )
 from gentianworks.tests.fixtures import build_state
-from gentianworks.tests.gateways import get_gateway
+from gentianworks.tests.gateways import KEY, get_gateway
 
 assert applications
 assert replica_listing  # register the functions that perform effects
@@ -188,3 +191,44 @@
                 perform.register(CallReplica, call)
             assert isinstance(parts[-1], RefuseRequest)
             assert join_body(await router.call("r3", **PAY)) == b"own answer"
+
+
+class TestUnsendableCalls:
+    """A call whose workspace no header can carry ended the router, or cost replicas."""
+
+    @pytest.mark.anyio
+    @pytest.mark.parametrize(
+        "name", ["Cumann Staire ", " Cumann Staire", "a\tb\n", "\0", "\ud800", " "]
+    )
+    async def test_the_call_is_refused_as_not_run(
+        self, name: str, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        replica = FaultyReplica([send(OWN)] * 2)
+        async with run_router(replica, service="books") as router:
+            gateway = get_gateway(router.process.state)
+            assert gateway.table is not None
+            workspace = WorkspaceKeys(name, (digest_key("odd"),))
+            workspaces = (*gateway.table.workspaces, workspace)
+            gateway.table = evolve(gateway.table, workspaces=workspaces)
+            # The first call needs a new connection, the third finds one idle.
+            for request_id, key in (("x1", "odd"), ("r1", KEY), ("x2", "odd")):
+                parts = await router.call(request_id, api_key=key, **PAY)
+                if key == KEY:
+                    assert join_body(parts) == b"own answer"
+                    continue
+                (refused,) = parts
+                assert isinstance(refused, RefuseRequest)
+                assert refused.problem.run_state is RunState.NOT_RUN
+                assert refused.problem.kind is ProblemKind.UNSENDABLE
+                assert "tenant-id" in refused.problem.detail
+            assert join_body(await router.call("r2", **PAY)) == b"own answer"
+            assert not gateway.backoff.failures
+        assert len(replica.requests) == 2
+        assert replica.connection_count == 1
+        codes = [item.getMessage() for item in caplog.records]
+        assert codes.count("GW5125") == 2
+
+    def test_it_is_answered_with_503_and_no_time_of_return(self) -> None:
+        answer = encode_problem(Problem(ProblemKind.UNSENDABLE, "x"))
+        assert answer.status == 503
+        assert "retry-after" not in {item.name for item in answer.headers}
--- a/gentianworks/web/connections.py
+++ b/gentianworks/web/connections.py
@@ -11,6 +11,7 @@
 import socket
 from collections.abc import Callable, Iterable
 from enum import Enum
+from functools import cached_property
 from typing import Any, Protocol, cast
 
 import h11
@@ -40,6 +41,10 @@
     MALFORMED = "malformed"
 
 
+class UnsendableRequestError(Exception):
+    """Raised for a request that HTTP can't carry; the message names its part."""
+
+
 @frozen
 class RequestHead:
     """Method, target and headers of a request."""
@@ -48,6 +53,32 @@
     target: str
     headers: tuple[tuple[bytes, bytes], ...]
 
+    def check(self) -> None:
+        """Raise UnsendableRequestError if HTTP can't carry the head."""
+        _ = self.encoded
+
+    @cached_property
+    def encoded(self) -> h11.Request:
+        """Return the event that sends the head, or raise UnsendableRequestError."""
+        try:
+            return h11.Request(
+                method=self.method, target=self.target, headers=list(self.headers)
+            )
+        except (h11.LocalProtocolError, UnicodeError) as error:
+            raise UnsendableRequestError(
+                f"{_find_unsendable_part(self)} can't be sent ({error})"
+            ) from error
+
+
+def _find_unsendable_part(head: RequestHead) -> str:
+    for item in head.headers:
+        host = [] if item[0] == b"host" else [(b"host", b"")]
+        try:
+            h11.Request(method="GET", target="/", headers=[*host, item])
+        except h11.LocalProtocolError:
+            return f"the header {item[0].decode('latin-1')!r}"
+    return "the request"
+
 
 class ResponseReceiver(Protocol):
     """Callbacks for the parts of a response."""
@@ -316,10 +347,7 @@
 def _encode_request(
     http: h11.Connection, head: RequestHead, body: bytes
 ) -> list[bytes]:
-    request = h11.Request(
-        method=head.method, target=head.target, headers=list(head.headers)
-    )
-    parts: list[Any] = [request, h11.EndOfMessage()]
+    parts: list[Any] = [head.encoded, h11.EndOfMessage()]
     if body:
         parts.insert(1, h11.Data(data=body))
     return [http.send(part) or b"" for part in parts]
