Forward the Host header also if a caller lists it in Connection

Callers saw: one request with "Connection: host", or an HTTP/1.0 request without a Host header on a route with an empty host, ended its router with code 70, if the replica had an idle connection, and cut all its calls. Any caller with a key, or on a route without keys, could do it.

Cause: headers that Connection lists were dropped, Host among them, and HTTP/1.1 has no request without it.

Change: the headers that a replica needs (Host, Request-Id, Model, Token-Counts, Prompt-Prefix) are forwarded whatever Connection lists, and a call without a host is sent with an empty one, as HTTP asks.

--- a/gentianworks/platform/calls.py
+++ b/gentianworks/platform/calls.py
@@ -40,7 +40,7 @@
     dropped = (
         header_names.HOP_HEADERS
         | header_names.SYSTEM_HEADERS
-        | _list_connection_options(values)
+        | (_list_connection_options(values) - header_names.REPLICA_HEADERS)
     )
     return Call(
         request_id=values.get(header_names.REQUEST_ID, ""),
--- a/gentianworks/platform/header_names.py
+++ b/gentianworks/platform/header_names.py
@@ -48,6 +48,9 @@
     }
 )
 
+# Headers that a replica needs, also if a client lists them in its Connection header.
+REPLICA_HEADERS = frozenset({"host", "model", PROMPT_PREFIX, REQUEST_ID, TOKEN_COUNTS})
+
 # Hop-by-hop headers, which apply to one connection and are not forwarded.
 HOP_HEADERS = frozenset(
     {
--- a/gentianworks/platform/replicas.py
+++ b/gentianworks/platform/replicas.py
@@ -260,6 +260,8 @@
     """
     call = effect.call
     headers = [(item.name, item.value) for item in call.headers]
+    if not any(name == "host" for name, _ in headers):
+        headers.append(("host", call.host))  # HTTP/1.0 doesn't require it
     headers += [
         (header_names.REQUEST_DEADLINE, str(max(1, int(effect.timeout * 1000)))),
         (header_names.EXPECT_INSTANCE, effect.replica.name),
--- a/gentianworks/tests/test_platform_messages.py
+++ b/gentianworks/tests/test_platform_messages.py
@@ -394,6 +394,20 @@
             "prompt-prefix",
         }
 
+    def test_headers_that_a_replica_needs_are_always_forwarded(self) -> None:
+        """A call with `Connection: host` had no Host header and ended the router."""
+        kept = ("host", "request-id", "token-counts", "prompt-prefix")
+        options = Header("connection", ", ".join(kept))
+        call = decode_call("POST", "/d/1", (*self.HEADERS, options), b"")
+        assert set(kept) <= {item.name for item in call.headers}
+
+    def test_a_call_without_a_host_is_sent_with_an_empty_one(self) -> None:
+        call = decode_call("GET", "/d/1", (), b"")
+        (replica,) = build_replicas("engines", 1, 4)
+        head = encode_head(CallReplica("x", "a", replica, call, 1.0))
+        head.check()
+        assert dict(head.headers)[b"host"] == b""
+
     def test_only_a_call_that_has_not_run_is_answered_503(self) -> None:
         for run_state, status in (
             (RunState.NOT_RUN, 503),
