Refuse operators' and callers' values that no message can carry

Operators would have seen: a text with half a character (a surrogate, which JSON allows) or an integer of over 64 bits in an order, a change or a release ended the control host that led with code 70, and the next one when it was sent again. Callers: a max_tokens of over 64 bits was tried at one endpoint after the other and counted as a failure of each.

Found by going through all effects that send what others chose.

Change: the operators' interface answers 400 before the request is reduced, and a chat with a max_tokens over 2**31 - 1 is refused with 400.

Also: the test of the effects' classes failed once, in the run that showed these tests red: attrs replaces a class by one with slots, and the first one stays a subclass until it is collected. It lists the classes by their modules now.

Before: four new cases and one of test_requests fail. After: they pass.

--- a/gentianworks/codecs/requests.py
+++ b/gentianworks/codecs/requests.py
@@ -24,6 +24,7 @@
 REPEAT_HEADER = "gw-repeat"
 IDEMPOTENCY_KEY_HEADER = "idempotency-key"
 MAX_NAME_LENGTH = 256  # characters
+MAX_TOKENS = 2**31 - 1  # of an answer; what all engines parse
 BYTES_PER_TOKEN = 4  # approximate
 FIRST_TURN_ROLE = "user"
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
@@ -144,6 +145,8 @@
     tokens = document.get("max_tokens")
     if tokens is not None and (type(tokens) is not int or tokens < 0):
         return "'max_tokens' is not a non-negative integer; correct it."
+    if tokens is not None and tokens > MAX_TOKENS:
+        return f"'max_tokens' exceeds {MAX_TOKENS}; lower it."
     return ""
 
 
--- a/gentianworks/tests/test_failed_effects.py
+++ b/gentianworks/tests/test_failed_effects.py
@@ -2,14 +2,19 @@
 
 from __future__ import annotations
 
+import importlib
+import json
 import logging
+import pkgutil
+from collections.abc import MutableMapping
 from typing import Any, cast
 
 import pytest
 from anyio.abc import TaskGroup
-from attrs import evolve
+from attrs import define, evolve, field
 
 from gentianworks.codecs.messages import MessageCodec
+from gentianworks.core import effects
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.callers import FinishAnswer, RefuseRequest
 from gentianworks.core.effects.gateway import (
@@ -31,6 +36,7 @@
     CountTokens,
     ObserveLatency,
 )
+from gentianworks.core.effects.operators import AnswerOperator
 from gentianworks.core.effects.replication import (
     DecodeSnapshot,
     ReadSnapshotChunk,
@@ -39,12 +45,14 @@
 )
 from gentianworks.core.events.base import Event
 from gentianworks.core.events.configuration import ConfigurationWanted
+from gentianworks.core.events.orders import OrderRequested
 from gentianworks.core.gateway.route_table import WorkspaceKeys, digest_key
 from gentianworks.core.types import Problem, ProblemKind, RunState
 from gentianworks.peers.sockets import PeerSockets
 from gentianworks.platform import applications, replica_listing, replicas
 from gentianworks.platform.calls import encode_problem
 from gentianworks.process import Process, contain_failure, perform
+from gentianworks.settings import OperatorSettings
 from gentianworks.tests.faulty_replicas import (
     FaultyReplica,
     build_answer,
@@ -54,6 +62,8 @@
 )
 from gentianworks.tests.fixtures import build_state
 from gentianworks.tests.gateways import KEY, get_gateway
+from gentianworks.tokens import OperatorRegistry, digest_token
+from gentianworks.web.operators import OperatorApplication
 
 assert applications
 assert replica_listing  # register the functions that perform effects
@@ -95,6 +105,21 @@
 }
 
 
+def list_effects() -> list[type[Effect]]:
+    """Return the classes of all effects that the product defines."""
+    names = [item.name for item in pkgutil.iter_modules(effects.__path__)]
+    modules = [importlib.import_module(f"{effects.__name__}.{name}") for name in names]
+    return [
+        item
+        for module in modules
+        for item in vars(module).values()
+        if isinstance(item, type)
+        and issubclass(item, Effect)
+        and item.__module__ == module.__name__
+        and item is not Effect
+    ]
+
+
 def fail_in_process(effect: Effect, process: Process) -> None:
     """Perform an effect as the process does after it has reduced an event."""
     process._perform(effect)
@@ -102,9 +127,8 @@
 
 class TestContainment:
     def test_each_effect_is_contained_or_ends_the_process_on_purpose(self) -> None:
-        for kind in Effect.__subclasses__():
-            module = kind.__module__.rpartition(".")[2]
-            if module in GUARDED_MODULES or "tests" in kind.__module__:
+        for kind in list_effects():
+            if kind.__module__.rpartition(".")[2] in GUARDED_MODULES:
                 continue
             ends_process = contain_failure.dispatch(Effect)
             is_contained = contain_failure.dispatch(kind) is not ends_process
@@ -232,3 +256,60 @@
         answer = encode_problem(Problem(ProblemKind.UNSENDABLE, "x"))
         assert answer.status == 503
         assert "retry-after" not in {item.name for item in answer.headers}
+
+
+@define
+class RequestRecorder(Process):
+    """Process that records the requests of operators."""
+
+    requests: list[Event] = field(factory=list)
+
+    def handle(self, event: Event) -> None:
+        assert isinstance(event, OrderRequested)
+        self.requests.append(event)
+        self.outboxes[event.exchange].put(AnswerOperator(event.exchange, None))
+
+
+class TestOperatorRequests:
+    """A text that the journal can't encode ended the control host that leads."""
+
+    async def post(self, process: Process, document: dict[str, Any]) -> tuple[int, str]:
+        """Send an order as an operator; return the status and the body."""
+        operator = OperatorSettings("clerk", digest_token("t"))
+        sent: list[MutableMapping[str, Any]] = []
+
+        async def receive() -> MutableMapping[str, Any]:
+            return {"type": "http.request", "body": json.dumps(document).encode()}
+
+        async def send(part: MutableMapping[str, Any]) -> None:
+            sent.append(part)
+
+        scope = {
+            "method": "POST",
+            "path": "/orders",
+            "headers": [(b"authorization", b"Bearer t")],
+        }
+        application = OperatorApplication(process, OperatorRegistry((operator,)))
+        await application(scope, receive, send)
+        return sent[0]["status"], sent[1]["body"].decode()
+
+    @pytest.mark.anyio
+    @pytest.mark.parametrize(
+        "changes",
+        [
+            {"value": "\ud800"},
+            {"request": "a\udfff"},
+            {"endpoint": "\ud800"},
+            {"size": 10**30},
+        ],
+    )
+    async def test_what_can_not_be_stored_is_refused(
+        self, changes: dict[str, Any]
+    ) -> None:
+        order = {"request": "r1", "endpoint": "e1", "kind": "load-model", "value": "m"}
+        process = RequestRecorder(build_state(), cast(TaskGroup, None))
+        assert (await self.post(process, order))[0] == 200
+        status, body = await self.post(process, {**order, **changes})
+        assert status == 400
+        assert "can't be stored" in body
+        assert len(process.requests) == 1
--- a/gentianworks/tests/test_requests.py
+++ b/gentianworks/tests/test_requests.py
@@ -42,6 +42,8 @@
             {"model": "chat", "messages": ["text"]},
             {**build_chat(QUESTION), "max_tokens": -1},
             {**build_chat(QUESTION), "max_tokens": True},
+            # No message between processes carries it.
+            {**build_chat(QUESTION), "max_tokens": 10**30},
         ],
     )
     def test_refuses_a_malformed_body(self, body: object) -> None:
--- a/gentianworks/web/operators.py
+++ b/gentianworks/web/operators.py
@@ -10,6 +10,7 @@
 from urllib.parse import parse_qsl
 
 import cattrs
+import msgpack
 from attrs import define
 from expression import Error, Ok, Result
 
@@ -137,6 +138,7 @@
 ) -> Result[OperatorRequest, Problem]:
     try:
         values = read()
+        check_storable(values)
         if kind is ConfigurationChangeRequested:
             values["digest"] = _digest_change(operator, values)
         request = _CONVERTER.structure(
@@ -148,6 +150,17 @@
     return Ok(request)
 
 
+def check_storable(values: dict[str, Any]) -> None:
+    """Raise ValueError if a text or number can't be stored or sent to other hosts."""
+    try:
+        msgpack.packb(values)
+    except (UnicodeEncodeError, OverflowError) as error:
+        raise ValueError(
+            f"a text or number can't be stored ({error}); "
+            f"use no surrogates and no integers of over 64 bits"
+        ) from error
+
+
 def _digest_change(operator: str, values: dict[str, Any]) -> str:
     """Return a digest of a change that is independent of the order of its keys.
 
