Ignore counts of very many digits that engines and replicas send

Callers would have seen: an engine whose answer has a "prompt_tokens" of over 4,300 digits ended the router of the product's own front end (code 70) while it performed CountTokens, with all its calls; a count of generated tokens of that kind failed its answer, or ended the agent where it was compared with a float. On the platform, a Keep-Alive with a digit that isn't ASCII cut the answer and counted as a crash.

Found by reading every conversion in codecs, web and platform.

Change: a count has at most 12 digits, a Keep-Alive ASCII digits. Else it is unknown.

Before: test_ignores_a_count_of_very_many_digits and one case of the Keep-Alive fail.

--- a/gentianworks/codecs/usage.py
+++ b/gentianworks/codecs/usage.py
@@ -6,9 +6,11 @@
 
 from attrs import define, frozen
 
-PROMPT_TOKENS = re.compile(rb'"prompt_tokens":\s*(\d+)')
-CACHED_TOKENS = re.compile(rb'"cached_tokens":\s*(\d+)')
-COMPLETION_TOKENS = re.compile(rb'"completion_tokens":\s*(\d+)')
+# A longer count would fit into no message or metric.
+_COUNT = rb"\s*(\d{1,12})(?!\d)"
+PROMPT_TOKENS = re.compile(rb'"prompt_tokens":' + _COUNT)
+CACHED_TOKENS = re.compile(rb'"cached_tokens":' + _COUNT)
+COMPLETION_TOKENS = re.compile(rb'"completion_tokens":' + _COUNT)
 TAIL_BYTES = 4096  # engines report the usage at the end
 
 
--- a/gentianworks/tests/test_connections.py
+++ b/gentianworks/tests/test_connections.py
@@ -108,6 +108,17 @@
             assert response.is_complete
             assert response.body == b"own"
 
+    @pytest.mark.anyio
+    @pytest.mark.parametrize("timeout", ["²", "9" * 5000, "-1", "", "5;5"])
+    async def test_an_odd_keep_alive_does_not_spoil_a_response(
+        self, timeout: str
+    ) -> None:
+        header = b"keep-alive: timeout=%s\r\n" % timeout.encode("latin-1")
+        response = OWN_RESPONSE.replace(b"request-id", header + b"request-id")
+        async with serve(response) as address:
+            connection = await ConnectionPool().connect(address)
+            assert (await send_request(connection)).body == b"own"
+
     @pytest.mark.anyio
     async def test_a_surplus_response_closes_its_connection(self) -> None:
         pool = ConnectionPool()
--- a/gentianworks/tests/test_metrics.py
+++ b/gentianworks/tests/test_metrics.py
@@ -56,6 +56,17 @@
         usage = {"prompt_tokens": 7, "prompt_tokens_details": details}
         assert find_usage(json.dumps({"usage": usage}).encode()) == Usage(7, 3)
 
+    def test_ignores_a_count_of_very_many_digits(self) -> None:
+        """An engine's count of over 4,300 digits ended the router that counted it."""
+        digits = b"9" * 5000
+        assert find_usage(b'{"prompt_tokens": %s}' % digits) is None
+        cached = find_usage(b'{"prompt_tokens": 7, "cached_tokens": %s}' % digits)
+        assert cached == Usage(7, 0)
+        for count in (digits[:4000], b"9" * 13):
+            reader = AnswerTail()
+            reader.feed(b'{"completion_tokens": %s}' % count)
+            assert reader.count_generated_tokens() == 0
+
     @pytest.mark.parametrize("size", [1, 7, 4096])
     def test_counts_the_generated_tokens_of_a_complete_answer(self, size: int) -> None:
         text = json.dumps({"completion_tokens": 9})
--- a/gentianworks/web/connections.py
+++ b/gentianworks/web/connections.py
@@ -356,7 +356,8 @@
 def _parse_keep_alive(value: bytes) -> float:
     for part in value.decode("latin-1").split(","):
         name, _, seconds = part.strip().partition("=")
-        if name.lower() == "timeout" and seconds.isdigit():
+        is_number = seconds.isascii() and seconds.isdigit()
+        if name.lower() == "timeout" and is_number:
             return float(seconds)
     return DEFAULT_IDLE_LIMIT
 
