Give up answers that are read as a whole at 16 MiB

Operators of other systems saw: bytes without end from a faulty party used up the memory of the machine that read them, and ended the requests of all others there.

Cause here: the platform's list of replicas, an engine's load and orders, and the platform's list of hosts are read as a whole, without a limit on the size. The list of replicas had 1 s, the others any time, as long as bytes or interim answers arrived.

Change: the pages of a list have 16 MiB together, any other answer 16 MiB, and its whole exchange the time that each step had. The token of the next page is checked before it is sent, and the connection isn't taken before the head is encoded: a token that can't be encoded left one open with each fetch.

--- a/gentianworks/platform/replica_listing.py
+++ b/gentianworks/platform/replica_listing.py
@@ -29,6 +29,8 @@
 STATE_DRAINING = "draining"
 MAX_SLOTS = 1_000_000  # calls
 MAX_TEXT = 256  # characters
+MAX_TOKEN = 4096  # characters; many servers refuse a longer line
+MAX_LIST_BYTES = 16 * 1024 * 1024  # some thousand bytes for each replica
 MAX_PORT = 65535
 MAX_PORT_DIGITS = 5
 _UNREADABLE = (ValueError, KeyError, TypeError, AttributeError, RecursionError)
@@ -60,6 +62,9 @@
     status: int = 0
     body: bytearray = field(factory=bytearray)
     error: str = ""
+    # Set by the client that sends the request.
+    connection: Connection | None = None
+    max_bytes: int = MAX_LIST_BYTES
 
     def receive_head(self, status: int, headers: list[tuple[bytes, bytes]]) -> bool:
         self.status = status
@@ -67,6 +72,10 @@
 
     def receive_data(self, data: bytes) -> None:
         self.body += data
+        if len(self.body) > self.max_bytes and self.connection is not None:
+            self.connection.abort()
+            self.error = f"the list has over {MAX_LIST_BYTES} bytes"
+            self.done.set()
 
     def receive_end(self) -> None:
         self.done.set()
@@ -99,8 +108,11 @@
         replicas: list[Replica] = []
         refused = 0
         token = ""
+        remaining_bytes = MAX_LIST_BYTES
         for page_number in range(1, MAX_PAGES + 1):
-            page = decode_page(await self._fetch_page(token))
+            body = await self._fetch_page(token, remaining_bytes)
+            remaining_bytes -= len(body)
+            page = decode_page(body)
             replicas += page.replicas
             refused += page.rejected_entries
             token = page.next_page
@@ -108,12 +120,13 @@
                 return ReplicaListFetched(tuple(replicas), refused, page_number)
         raise ListingError(f"the list has over {MAX_PAGES} pages")
 
-    async def _fetch_page(self, token: str) -> bytes:
+    async def _fetch_page(self, token: str, max_bytes: int) -> bytes:
+        head = self._build_head(token)
         now = anyio.current_time()
         connection = self.pool.borrow(self.address, now, is_careful=True)
         connection = connection or await self.pool.connect(self.address)
-        response = _Response()
-        connection.send(self._build_head(token), b"", response)
+        response = _Response(connection=connection, max_bytes=max_bytes)
+        connection.send(head, b"", response)
         await _wait_for_end(response, connection)
         if response.status == STATUS_THROTTLED and not response.error:
             raise ThrottledError(f"status {response.status}")
@@ -183,6 +196,8 @@
         return ""
     if not isinstance(token, str):
         raise TypeError(f"next is a {type(token).__name__}, not a string")
+    if len(token) > MAX_TOKEN or not token.isprintable():
+        raise ValueError(f"next is {ascii(token)[:MAX_TEXT]}, which can't be sent")
     return token
 
 
--- a/gentianworks/web/engine_load.py
+++ b/gentianworks/web/engine_load.py
@@ -15,7 +15,7 @@
 from gentianworks.core.events.base import Event
 from gentianworks.core.events.engines import EngineLoadFetched, EngineLoadUnavailable
 from gentianworks.process import Process, perform
-from gentianworks.web.pools import build_timeout_extensions, create_pool
+from gentianworks.web.pools import BufferedResponse, create_pool, send_request
 
 HTTP_OK = 200
 REPORT_TIMEOUT = 1.0  # seconds
@@ -59,15 +59,12 @@
         with suppress(*TRANSPORT_ERRORS):
             await self._call("POST", f"/cancel/{quote(name, safe='')}")
 
-    async def _call(self, method: str, path: str) -> httpcore.Response:
-        return await self.pool.request(
-            method,
-            f"http://{self.address}{path}",
-            extensions=build_timeout_extensions(REPORT_TIMEOUT),
-        )
+    async def _call(self, method: str, path: str) -> BufferedResponse:
+        url = f"http://{self.address}{path}"
+        return await send_request(self.pool, method, url, timeout=REPORT_TIMEOUT)
 
 
-def _decode_load(response: httpcore.Response) -> Event:
+def _decode_load(response: BufferedResponse) -> Event:
     if response.status != HTTP_OK:
         return EngineLoadUnavailable(may_be_running=False)
     try:
--- a/gentianworks/web/orders.py
+++ b/gentianworks/web/orders.py
@@ -13,7 +13,7 @@
 from gentianworks.core.orders.fencing import Order, OrderStatus
 from gentianworks.process import Process, perform
 from gentianworks.web.engine_load import TRANSPORT_ERRORS
-from gentianworks.web.pools import build_timeout_extensions, create_pool
+from gentianworks.web.pools import BufferedResponse, create_pool, send_request
 
 ORDER_TIMEOUT = 60.0  # seconds
 MIN_REFUSAL_STATUS = 300  # HTTP status
@@ -75,24 +75,23 @@
 
     async def _list_accepted(self) -> tuple[AcceptedOrder, ...]:
         """Return the orders that the engine lists; an invalid list counts as empty."""
-        response = await self.pool.request(
-            "GET",
-            f"http://{self.address}/orders",
-            headers=[(b"host", self.address.encode())],
-            extensions=build_timeout_extensions(ORDER_TIMEOUT),
-        )
+        response = await self._call("GET")
         try:
             return cattrs.structure(json.loads(response.content), AcceptedOrders).orders
         except (ValueError, TypeError, RecursionError, cattrs.BaseValidationError):
             return ()
 
-    async def _post(self, order: Order) -> httpcore.Response:
-        return await self.pool.request(
-            "POST",
+    async def _post(self, order: Order) -> BufferedResponse:
+        return await self._call("POST", encode_order(order))
+
+    async def _call(self, method: str, body: bytes | None = None) -> BufferedResponse:
+        return await send_request(
+            self.pool,
+            method,
             f"http://{self.address}/orders",
             headers=[(b"host", self.address.encode())],
-            content=encode_order(order),
-            extensions=build_timeout_extensions(ORDER_TIMEOUT),
+            content=body,
+            timeout=ORDER_TIMEOUT,
         )
 
 
--- a/gentianworks/web/platform.py
+++ b/gentianworks/web/platform.py
@@ -13,7 +13,7 @@
 from gentianworks.core.effects.membership import FetchHosts
 from gentianworks.core.events.membership import PlatformHost, PlatformHostsListed
 from gentianworks.process import Process, perform
-from gentianworks.web.pools import create_pool
+from gentianworks.web.pools import create_pool, send_request
 
 FETCH_TIMEOUT = 1.0  # seconds
 LEAVING = "leaving"
@@ -29,11 +29,9 @@
 
     async def fetch(self, address: str, process: Process) -> None:
         """Report the list as an event, or log why it is unavailable."""
-        timeouts = dict.fromkeys(("connect", "pool", "read", "write"), FETCH_TIMEOUT)
+        url = f"http://{address}/hosts"
         try:
-            response = await self.pool.request(
-                "GET", f"http://{address}/hosts", extensions={"timeout": timeouts}
-            )
+            response = await send_request(self.pool, "GET", url, timeout=FETCH_TIMEOUT)
         except (
             httpcore.NetworkError,
             httpcore.ProtocolError,
--- a/gentianworks/web/pools.py
+++ b/gentianworks/web/pools.py
@@ -7,12 +7,13 @@
 
 import anyio
 import httpcore
-from attrs import define, field
+from attrs import define, field, frozen
 
 MAX_CONNECTIONS = 4096
 MAX_IDLE_CONNECTIONS = 64
 MAX_POOL_REQUESTS = 16
 IDLE_TIMEOUT = 10.0  # seconds
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024  # of a response that is read as a whole
 
 
 def create_pool(keeps_connections: bool = True) -> httpcore.AsyncConnectionPool:
@@ -29,6 +30,55 @@
     return {"timeout": dict.fromkeys(("connect", "pool", "read", "write"), timeout)}
 
 
+class OversizedResponseError(httpcore.RemoteProtocolError):
+    """Raised for a response whose body exceeds the limit of its reader."""
+
+
+@frozen
+class BufferedResponse:
+    """Status and whole body of a response."""
+
+    status: int
+    content: bytes
+
+
+async def send_request(
+    pool: httpcore.AsyncConnectionPool,
+    method: str,
+    url: str,
+    *,
+    timeout: float,
+    content: bytes | None = None,
+    headers: list[tuple[bytes, bytes]] | None = None,
+) -> BufferedResponse:
+    """Send a request and return the whole response.
+
+    `timeout` is in seconds and limits the whole exchange. Raises httpcore's errors,
+    among them OversizedResponseError for a body of over MAX_RESPONSE_BYTES.
+    """
+    extensions = build_timeout_extensions(timeout)
+    try:
+        with anyio.fail_after(timeout):
+            async with pool.stream(
+                method, url, headers=headers, content=content, extensions=extensions
+            ) as response:
+                body = await _read_body(response)
+    except TimeoutError as error:
+        raise httpcore.ReadTimeout(f"no whole response within {timeout:g} s") from error
+    return BufferedResponse(response.status, body)
+
+
+async def _read_body(response: httpcore.Response) -> bytes:
+    body = bytearray()
+    async for data in response.aiter_stream():
+        body += data
+        if len(body) > MAX_RESPONSE_BYTES:
+            raise OversizedResponseError(
+                f"the body of the response has over {MAX_RESPONSE_BYTES} bytes"
+            )
+    return bytes(body)
+
+
 @define
 class _PoolEntry:
     pool: httpcore.AsyncConnectionPool
