Split events of a stream in time proportional to their number

Cause: EventSplitter.feed joined the events of a piece one by one, and copied what it had joined for each of them.

Change: the ends are found first, and each block is cut out of the piece once.

Before: both cases of the first test fail. After: they pass.

--- a/gentianworks/codecs/server_events.py
+++ b/gentianworks/codecs/server_events.py
@@ -13,6 +13,7 @@
 
 _EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _MAX_END_BYTES = 4  # of _EVENT_END
+_ID_FIELD = b"id:"
 _ID_LINE = re.compile(rb"^id: ?(\d{1,18})\r?$", re.MULTILINE)
 
 
@@ -28,16 +29,6 @@
     first_event: int = UNNUMBERED  # -1 if the events have no numbers
     last_event: int = UNNUMBERED
 
-    def merge(self, other: EventBlock) -> EventBlock | None:
-        """Return both blocks as one if `other` continues this one, else None."""
-        is_next = (
-            other.first_event == self.last_event + 1 and self.last_event != UNNUMBERED
-        )
-        is_unnumbered = self.last_event == other.last_event == UNNUMBERED
-        if not is_next and not is_unnumbered:
-            return None
-        return EventBlock(self.data + other.data, self.first_event, other.last_event)
-
 
 class EventSplitter:
     """Incremental parser that splits an event stream at the ends of its events."""
@@ -52,29 +43,23 @@
         Raises EventTooLongError, after which the stream can't be read further.
         """
         self._buffer += data
-        blocks: list[EventBlock] = []
-        for event in self._split():
-            merged = blocks[-1].merge(event) if blocks else None
-            if merged is None:
-                blocks.append(event)
-            else:
-                blocks[-1] = merged
-        return blocks
-
-    def _split(self) -> Iterator[EventBlock]:
-        # Bytes that were searched before are skipped, since an event may arrive byte
-        # by byte.
-        begin = max(0, self._searched - _MAX_END_BYTES + 1)
-        start = 0
-        for end in _EVENT_END.finditer(bytes(self._buffer[begin:])):
-            yield _parse_event(bytes(self._buffer[start : begin + end.end()]))
-            start = begin + end.end()
-        del self._buffer[:start]
+        ends = self._find_ends()
+        complete_bytes = ends[-1] if ends else 0
+        complete = bytes(self._buffer[:complete_bytes])
+        del self._buffer[:complete_bytes]
         self._searched = len(self._buffer)
         if self._searched > MAX_EVENT_BYTES:
             raise EventTooLongError(
                 f"an event does not end within {MAX_EVENT_BYTES} bytes"
             )
+        return list(_group_events(complete, ends))
+
+    def _find_ends(self) -> list[int]:
+        # Bytes that were searched before are skipped, since an event may arrive byte
+        # by byte.
+        begin = max(0, self._searched - _MAX_END_BYTES + 1)
+        searched = bytes(self._buffer[begin:])
+        return [begin + match.end() for match in _EVENT_END.finditer(searched)]
 
     def has_incomplete_event(self) -> bool:
         """Return whether the stream stops in the middle of an event."""
@@ -93,9 +78,29 @@
         return False
 
 
-def _parse_event(event: bytes) -> EventBlock:
+def _group_events(data: bytes, ends: list[int]) -> Iterator[EventBlock]:
+    """Yield the events that end at `ends`, with consecutive ones in one block.
+
+    Each block is cut out of `data` once: joining events one by one would copy the
+    block for each of them.
+    """
+    if not ends:
+        return
+    if _ID_FIELD not in data:
+        yield EventBlock(data)
+        return
+    block_start = start = 0
+    first = last = _read_number(data[: ends[0]])
+    for end in ends:
+        number = _read_number(data[start:end])
+        if start and number != (last if last == UNNUMBERED else last + 1):
+            yield EventBlock(data[block_start:start], first, last)
+            block_start, first = start, number
+        last = number
+        start = end
+    yield EventBlock(data[block_start:], first, last)
+
+
+def _read_number(event: bytes) -> int:
     match = _ID_LINE.search(event)
-    if match is None:
-        return EventBlock(event)
-    number = int(match.group(1))
-    return EventBlock(event, number, number)
+    return UNNUMBERED if match is None else int(match.group(1))
--- a/gentianworks/tests/test_streams.py
+++ b/gentianworks/tests/test_streams.py
@@ -165,6 +165,46 @@
         }
         assert per_byte[long] < 4 * per_byte[short]  # 16 if it grew with the event
 
+    @pytest.mark.parametrize("event", [b"data: x\n\n", b"id: %d\ndata: some words\n\n"])
+    def test_the_work_for_each_event_does_not_grow_with_their_number(
+        self, event: bytes
+    ) -> None:
+        """A replica that sent small events without end held up all other calls."""
+        few, many = 1_000, 64_000
+        per_event = {
+            count: min(_measure_events(event, count) for _ in range(3)) / count
+            for count in (few, many)
+        }
+        assert per_event[many] < 3 * per_event[few]
+
+    def test_events_of_one_piece_are_grouped_by_their_numbers(self) -> None:
+        stream = (
+            b"id: 3\n\nid: 4\ndata: a\n\ndata: b\n\n\n\nid: 5\r\n\r\nid: 5\n\n"
+            b"id: 7\n\ndata: c\r\rid: 8\n\n: d\n\nid: x\n\n"
+        )
+        blocks = EventSplitter().feed(stream)
+        assert b"".join(item.data for item in blocks) == stream
+        assert [(item.first_event, item.last_event) for item in blocks] == [
+            (3, 4),
+            (-1, -1),
+            (5, 5),
+            (5, 5),
+            (7, 7),
+            (-1, -1),
+            (8, 8),
+            (-1, -1),
+        ]
+
+
+def _measure_events(event: bytes, count: int) -> float:
+    """Return the processor time to feed a number of events in one piece."""
+    numbered = b"%d" in event
+    data = b"".join(event % number if numbered else event for number in range(count))
+    cutter = EventSplitter()
+    started = time.process_time()
+    cutter.feed(data)
+    return time.process_time() - started
+
 
 def _measure_bytewise(size: int) -> float:
     """Return the processor time to feed an event of a size byte by byte."""
