Let connections with very many events take turns

Callers saw: while a replica sent a stream of small events or chunks without end to 20 callers, others waited for 1.2 s (chunks of one byte) or failed after 4 s (events).

Cause: each connection may parse 128 events in a turn of the event loop, but all of them do so in the same turn, and the events within one piece of a stream aren't events of the parser: a read of 256 KiB of them was split and reduced at once.

Change: a connection reads 16 KiB at once; one whose response had more events than a turn may parse is busy until its next request: it reads 1 KiB at once and waits in a queue of which one connection parses in each turn.

Ruled out: fewer events for each connection in a turn, since their sum still grows with the number of connections; grouping repeated events, since a mix of numbered and other events does the same.

--- a/gentianworks/platform/replicas.py
+++ b/gentianworks/platform/replicas.py
@@ -48,6 +48,7 @@
 STATUS_OTHER_REPLICA = 421
 MIN_REFUSAL_STATUS = 400
 MAX_COUNT_DIGITS = 9
+MAX_BLOCKS_PER_TURN = 32  # of a stream; about a millisecond of the event loop
 REPLICA_FAILURES = {
     ConnectionFailure.NOT_SENT: ReplicaFailure.NOT_SENT,
     ConnectionFailure.CUT: ReplicaFailure.CUT,
@@ -86,11 +87,14 @@
     def receive_data(self, data: bytes) -> None:
         """Report the complete pieces; pause reading if too many wait for the client."""
         try:
-            self._report(self.splitter.feed(data))
+            blocks = self.splitter.feed(data)
         except EventTooLongError as error:
             self.connection.abort()
             self.receive_failure(ConnectionFailure.MALFORMED, str(error))
             return
+        if len(blocks) > MAX_BLOCKS_PER_TURN:
+            self.connection.mark_busy()
+        self._report(blocks)
         outbox = self.process.outboxes.get(self.effect.exchange)
         if outbox is not None and outbox.is_full():
             self._pause_until_drained()
--- a/gentianworks/tests/faulty_replicas.py
+++ b/gentianworks/tests/faulty_replicas.py
@@ -132,6 +132,7 @@
 
     scripts: list[Script]
     answers_early: bool = False  # before it reads the body of a request
+    service: str = ""  # that of the router, if empty
     address: str = ""
     connection_count: int = 0
     requests: list[bytes] = field(factory=list)  # heads
@@ -224,7 +225,7 @@
             replica.address = f"{host}:{port}"
         state = build_gateway()
         listed = tuple(
-            Replica(f"i-{number}", service, replica.address, "a", 64)
+            Replica(f"i-{number}", replica.service or service, replica.address, "a", 64)
             for number, replica in enumerate(replicas)
         )
         process = Process(state=state, tasks=tasks, exit=_fail_test)
--- a/gentianworks/tests/test_connections.py
+++ b/gentianworks/tests/test_connections.py
@@ -7,17 +7,22 @@
 import struct
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from functools import partial
 
 import anyio
 import pytest
 from attrs import define, field
 
 from gentianworks.web.connections import (
+    BUSY_READ_BYTES,
+    MAX_EVENTS_PER_TURN,
+    READ_BYTES,
     Connection,
     ConnectionFailure,
     ConnectionPool,
     RequestHead,
 )
+from gentianworks.web.turns import TurnQueue
 
 HEAD = RequestHead("GET", "/", ((b"host", b"a"),))
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -171,3 +176,63 @@
             pass
         with pytest.raises(ConnectionRefusedError):
             await ConnectionPool().connect(address)
+
+
+class TestTurns:
+    """Connections with much to parse held up all others, one after the other."""
+
+    @pytest.mark.anyio
+    async def test_one_item_runs_in_each_turn(self) -> None:
+        turns = TurnQueue()
+        ran: list[str] = []
+        for name in ("a", "b", "c"):
+            turns.add(partial(ran.append, name))
+        for count in range(4):
+            assert len(ran) == count
+            await asyncio.sleep(0)
+        assert ran == ["a", "b", "c"]
+
+    @pytest.mark.anyio
+    async def test_items_that_go_on_alternate(self) -> None:
+        turns = TurnQueue()
+        ran: list[str] = []
+
+        def run(name: str) -> None:
+            ran.append(name)
+            if len(ran) < 5:
+                turns.add(lambda: run(name))
+
+        turns.add(lambda: run("a"))
+        turns.add(lambda: run("b"))
+        for _ in range(8):
+            await asyncio.sleep(0)
+        assert ran == ["a", "b", "a", "b", "a", "b"]
+
+    @pytest.mark.anyio
+    async def test_busy_connections_share_the_turns(self) -> None:
+        count = 40 * MAX_EVENTS_PER_TURN
+        chunks = b"1\r\nz\r\n" * count
+        head = (
+            b"HTTP/1.1 200 X\r\nrequest-id: own\r\ntransfer-encoding: chunked\r\n\r\n"
+        )
+        async with (
+            serve(head + chunks + b"0\r\n\r\n") as busy,
+            serve(OWN_RESPONSE) as sound,
+        ):
+            pool = ConnectionPool()
+            responses = [Response() for _ in range(20)]
+            for response in responses:
+                (await pool.connect(busy)).send(HEAD, b"", response)
+            await asyncio.sleep(0.05)
+            assert (await send_request(await pool.connect(sound))).body == b"own"
+            assert not all(response.is_complete for response in responses)
+            with anyio.fail_after(20):
+                for response in responses:
+                    await response.done.wait()
+        assert {response.body for response in responses} == {b"z" * count}
+
+    def test_a_busy_connection_reads_little_at_once(self) -> None:
+        connection = Connection(lambda _: None)
+        assert len(connection.get_buffer(-1)) == READ_BYTES
+        connection.mark_busy()
+        assert len(connection.get_buffer(-1)) == BUSY_READ_BYTES
--- a/gentianworks/tests/test_faulty_replicas.py
+++ b/gentianworks/tests/test_faulty_replicas.py
@@ -305,7 +305,18 @@
         build_stream_head("$ID"), build_chunk(b"z"), 0.0005
     ),
     "unnumbered": repeat_until_closed(BEGUN_STREAM, build_chunk(b"data: z\n\n")),
+    "small": repeat_until_closed(BEGUN_STREAM, build_chunk(b"data: z\n\n" * 8_000)),
+    "repeated": repeat_until_closed(BEGUN_STREAM, build_chunk(b"id: 0\n\n" * 8_000)),
+    "mixed": repeat_until_closed(BEGUN_STREAM, build_chunk(b"id: 0\n\n:\n\n" * 8_000)),
 }
+FLOODS = {
+    **ENDLESS_EVENTS,
+    "tiny chunks": repeat_until_closed(
+        build_head("$ID", 200, transfer_encoding="chunked"), build_chunk(b"z") * 10_000
+    ),
+    "a body": repeat_until_closed(build_head("$ID"), b"z" * 65_536),
+}
+FLOODED_CALLERS = 20
 
 
 class TestEndlessBytes:
@@ -356,6 +367,26 @@
                     parts = await other.call(f"s{number}", **PAY)
                     assert join_body(parts) == b"own answer"
 
+    @pytest.mark.anyio
+    @pytest.mark.parametrize("name", list(FLOODS))
+    async def test_calls_of_a_sound_replica_keep_their_deadline(
+        self, name: str
+    ) -> None:
+        """The router parsed all that it had received before it served other calls."""
+        faulty = FaultyReplica([FLOODS[name]] * FLOODED_CALLERS)
+        sound = FaultyReplica([send(OWN)] * 20, service="books")
+        async with (
+            run_router(faulty, sound) as router,
+            anyio.create_task_group() as tasks,
+        ):
+            for number in range(FLOODED_CALLERS):
+                tasks.start_soon(router.call, f"f{number}")
+            await anyio.sleep(0.5)
+            for number in range(20):
+                parts = await router.call(f"s{number}", **PAY)
+                assert join_body(parts) == b"own answer"
+            tasks.cancel_scope.cancel()
+
     @pytest.mark.anyio
     async def test_a_caller_that_leaves_ends_the_endless_answer(self) -> None:
         replica = FaultyReplica([ENDLESS["body"]])
--- a/gentianworks/web/connections.py
+++ b/gentianworks/web/connections.py
@@ -17,6 +17,8 @@
 import h11
 from attrs import define, field, frozen
 
+from gentianworks.web.turns import TurnQueue
+
 CONNECT_TIMEOUT = 0.5  # seconds; far above the connect time within a region
 # Time for about six retransmissions within a region.
 UNACKNOWLEDGED_TIMEOUT_MS = 1500
@@ -29,6 +31,8 @@
 MAX_SKIPPED_RESPONSES = 4  # to earlier requests, before the response to this one
 MAX_SKIPPED_BYTES = 256 * 1024
 MAX_EVENTS_PER_TURN = 128  # of the parser; about a millisecond of the event loop
+READ_BYTES = 16 * 1024  # at once; bounds what a connection holds and parses in a turn
+BUSY_READ_BYTES = 1024  # at once, after a turn with many events
 MAX_REQUESTS = 256  # per connection; bounds the keys that it remembers
 CAREFUL_IDLE_FRACTION = 0.5  # of the idle limit; for requests that can't be repeated
 
@@ -96,11 +100,24 @@
         """Process the failure of the request; no other callback follows."""
 
 
-class Connection(asyncio.Protocol):
-    """Connection to one replica."""
+# All connections read into one buffer, since each read is parsed at once.
+_READ_BUFFER = memoryview(bytearray(READ_BYTES))
+
+
+class Connection(asyncio.BufferedProtocol):
+    """Connection to one replica.
+
+    A connection is busy once a response has had more events than one turn of the event
+    loop may parse. It then takes turns with the other busy ones.
+    """
 
-    def __init__(self, release: Callable[[Connection], None]) -> None:
+    def __init__(
+        self,
+        release: Callable[[Connection], None],
+        turns: TurnQueue | None = None,
+    ) -> None:
         self._release = release
+        self._turns = turns or TurnQueue()
         self._transport: asyncio.Transport | None = None
         self._http = h11.Connection(h11.CLIENT)
         self._receiver: ResponseReceiver | None = None
@@ -114,7 +131,9 @@
         # from the response to a later request with the same key.
         self._sent_keys: set[str] = set()
         self._is_paused = False  # by the receiver
-        self._has_more_events = False  # that wait for the next turn of the event loop
+        self._is_busy = False
+        self._has_more_events = False  # that wait for a later turn of the event loop
+        self._is_queued = False  # for a turn
         self._has_eof = False
         self.idle_since = 0.0
         self.idle_limit = DEFAULT_IDLE_LIMIT
@@ -153,6 +172,7 @@
         if key is not None:
             self._sent_keys.add(key)
         self._interim_count = self._skipped_count = self._skipped_bytes = 0
+        self._is_busy = False
         self._receiver = receiver
         self._request = (head, body)
         self._transport.write(b"".join(_encode_request(self._http, head, body)))
@@ -172,9 +192,13 @@
         """Resume reading."""
         self._is_paused = False
         if self._has_more_events:
-            asyncio.get_running_loop().call_soon(self._continue_parsing)
+            self._queue_parsing()
         self._update_reading()
 
+    def mark_busy(self) -> None:
+        """Let the connection take turns, since its response has very many events."""
+        self._is_busy = True
+
     def _update_reading(self) -> None:
         if self._transport is None or self._transport.is_closing():
             return
@@ -183,13 +207,27 @@
         else:
             self._transport.resume_reading()
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next bytes."""
+        return _READ_BUFFER[:BUSY_READ_BYTES] if self._is_busy else _READ_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parse the bytes that were read into the buffer."""
+        self.data_received(bytes(_READ_BUFFER[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; close the connection if no request is pending."""
         if self._receiver is None:
             self.abort()
             return
         self._http.receive_data(data)
-        if not self._has_more_events:
+        if self._has_more_events:
+            return
+        if self._is_busy:
+            self._has_more_events = True
+            self._queue_parsing()
+            self._update_reading()
+        else:
             self._parse_response()
 
     def eof_received(self) -> bool:
@@ -227,7 +265,7 @@
                 ):
                     break
             else:
-                self._has_more_events = self._receiver is not None
+                self._has_more_events = self._is_busy = self._receiver is not None
         except h11.RemoteProtocolError as error:
             # A connection that closes in the middle of an answer is also an error of
             # the protocol.
@@ -238,12 +276,18 @@
         except _ResponseError as error:
             self._fail(ConnectionFailure.MALFORMED, str(error))
         if self._has_more_events and not self._is_paused:
-            asyncio.get_running_loop().call_soon(self._continue_parsing)
+            self._queue_parsing()
         elif self._has_eof and self._receiver is not None and not self._is_paused:
             self._fail_at_eof()
         self._update_reading()
 
+    def _queue_parsing(self) -> None:
+        if not self._is_queued:
+            self._is_queued = True
+            self._turns.add(self._continue_parsing)
+
     def _continue_parsing(self) -> None:
+        self._is_queued = False
         if self._has_more_events and not self._is_paused:
             self._parse_response()
 
@@ -379,6 +423,7 @@
     """Pool of idle connections by address."""
 
     _idle: dict[str, list[Connection]] = field(factory=dict)
+    _turns: TurnQueue = field(factory=TurnQueue)
 
     def borrow(
         self, address: str, now: float, is_careful: bool, key: str | None = None
@@ -412,7 +457,7 @@
 
         async with asyncio.timeout(CONNECT_TIMEOUT):
             _, connection = await loop.create_connection(
-                lambda: Connection(release), host, int(port)
+                lambda: Connection(release, self._turns), host, int(port)
             )
         return connection
 
