Bound the number of doublings of each delay

Cause: the delay was doubled as often as there were failures and only then limited; 2**1024 fits into no float (OverflowError in EndpointBackoff.record_failure). The same stood where a node that returns again and again is held, after 1,026 returns.

Change: double_delay limits the doublings first; all three delays that double use it.

--- a/gentianworks/core/gateway/list_fetches.py
+++ b/gentianworks/core/gateway/list_fetches.py
@@ -9,6 +9,7 @@
 
 from attrs import define
 
+from gentianworks.core.delays import double_delay
 from gentianworks.core.ticks import MAX_EARLINESS
 
 RETRY_INTERVAL = 0.3  # seconds; repeats a failed fetch well within the drain time
@@ -61,11 +62,11 @@
 
         It is no shorter than an interval that the permitted rate has stretched.
         """
-        doublings = min(10, max(0, self.failure_count - 1))
+        doublings = max(0, self.failure_count - 1)
         if is_throttled:
-            delay = min(MAX_THROTTLED_INTERVAL, interval * 2.0 ** (doublings + 1))
+            delay = double_delay(interval, doublings + 1, MAX_THROTTLED_INTERVAL)
         else:
-            delay = min(MAX_RETRY_INTERVAL, RETRY_INTERVAL * 2.0**doublings)
+            delay = double_delay(RETRY_INTERVAL, doublings, MAX_RETRY_INTERVAL)
         return max(delay, interval) if interval > self.interval else delay
 
     def is_due(self, now: float) -> bool:
--- a/gentianworks/core/membership/roster.py
+++ b/gentianworks/core/membership/roster.py
@@ -7,6 +7,7 @@
 
 from attrs import define, evolve, field, frozen
 
+from gentianworks.core.delays import double_delay
 from gentianworks.core.events.membership import (
     EndpointState,
     Heartbeat,
@@ -59,7 +60,7 @@
     """
     if return_count < 2:
         return 0.0
-    return min(MAX_HOLD_TIME, MIN_HOLD_TIME * 2.0 ** (return_count - 2))
+    return double_delay(MIN_HOLD_TIME, return_count - 2, MAX_HOLD_TIME)
 
 
 @frozen
--- a/gentianworks/core/routing/backoff.py
+++ b/gentianworks/core/routing/backoff.py
@@ -7,6 +7,7 @@
 from attrs import define, field, frozen
 
 from gentianworks.core.admission.wait_estimates import LEVEL_LIFETIME, is_closed
+from gentianworks.core.delays import double_delay
 from gentianworks.core.types import (
     AdmissionLevel,
     Endpoint,
@@ -101,8 +102,8 @@
     def record_failure(self, endpoint: EndpointName, now: float) -> None:
         """Skip a lost endpoint; each consecutive loss doubles the time."""
         failures = self.failures.setdefault(endpoint, ConsecutiveFailures())
-        skip = FIRST_FAILURE_SKIP * 2**failures.count
-        failures.skip_until = now + min(skip, MAX_FAILURE_SKIP)
+        skip = double_delay(FIRST_FAILURE_SKIP, failures.count, MAX_FAILURE_SKIP)
+        failures.skip_until = now + skip
         failures.count += 1
 
     def is_unavailable(self, endpoint: EndpointName, now: float) -> bool:
