Take an answer with a status over 599 for none

Callers saw: if a replica answered with a status such as 600 or 999, their connection was closed without an answer.

Cause: the parser of the replica's answers reads any three digits, and the server has no phrase for more than 599 (KeyError, GW1007). It costs that call alone, but one that is safe to repeat could be sent to another replica.

Change: such an answer is a defect of the replica, as others are (GW5117): the call is repeated where it may be, else answered with 502.

Before: both cases fail. After: they pass.

--- a/gentianworks/platform/replicas.py
+++ b/gentianworks/platform/replicas.py
@@ -47,6 +47,7 @@
 LEAST_URGENT_PRIORITY = 9
 STATUS_OTHER_REPLICA = 421
 MIN_REFUSAL_STATUS = 400
+MAX_STATUS = 599
 MAX_COUNT_DIGITS = 9
 MAX_BLOCKS_PER_TURN = 32  # of a stream; about a millisecond of the event loop
 REPLICA_FAILURES = {
@@ -227,6 +228,8 @@
     defect = ""
     if is_refusal and status < MIN_REFUSAL_STATUS:
         defect = f"the answer with status {status} claims that the call was not run"
+    if status > MAX_STATUS:
+        defect = f"the answer has the status {status}, which no caller understands"
     running, waiting, slots = _read_load(values.get(header_names.INSTANCE_LOAD, ""))
     kept = tuple(item for item in headers if item.name not in header_names.HOP_HEADERS)
     length = tuple(item for item in headers if item.name == "content-length")
--- a/gentianworks/tests/test_failed_effects.py
+++ b/gentianworks/tests/test_failed_effects.py
@@ -252,6 +252,19 @@
         codes = [item.getMessage() for item in caplog.records]
         assert codes.count("GW5125") == 2
 
+    @pytest.mark.anyio
+    @pytest.mark.parametrize("status", [600, 999])
+    async def test_a_status_that_no_server_sends_is_no_answer(
+        self, status: int
+    ) -> None:
+        """The caller's connection was closed without an answer."""
+        replica = FaultyReplica([send(build_answer("$ID", b"x", status))])
+        async with run_router(replica, service="books") as router:
+            (refused,) = await router.call("r1", **PAY)
+        assert isinstance(refused, RefuseRequest)
+        assert refused.problem.run_state is RunState.UNKNOWN
+        assert str(status) in refused.problem.detail
+
     def test_it_is_answered_with_503_and_no_time_of_return(self) -> None:
         answer = encode_problem(Problem(ProblemKind.UNSENDABLE, "x"))
         assert answer.status == 503
