Show that a check that is due while a process stops ends nothing

test_a_head_that_ends_early_is_no_answer failed once: the timer CrashCheckDue fired after the task group of the test had ended, so the check couldn't start (RuntimeError, GW1006). A stopping process could meet it too, between the end of its tasks and that of its loop, and would have ended with 70. Without the functions that contain it, the three new cases fail; with them they pass.

--- a/gentianworks/tests/test_failed_effects.py
+++ b/gentianworks/tests/test_failed_effects.py
@@ -9,6 +9,7 @@
 from collections.abc import MutableMapping
 from typing import Any, cast
 
+import anyio
 import pytest
 from anyio.abc import TaskGroup
 from attrs import define, evolve, field
@@ -47,12 +48,16 @@
 from gentianworks.core.events.configuration import ConfigurationWanted
 from gentianworks.core.events.orders import OrderRequested
 from gentianworks.core.gateway.route_table import WorkspaceKeys, digest_key
-from gentianworks.core.types import Problem, ProblemKind, RunState
+from gentianworks.core.types import Header, Problem, ProblemKind, RunState
+from gentianworks.metrics import Metrics
 from gentianworks.peers.sockets import PeerSockets
 from gentianworks.platform import applications, replica_listing, replicas
 from gentianworks.platform.calls import encode_problem
+from gentianworks.platform.replica_listing import ListingClient
+from gentianworks.platform.replicas import ReplicaClient
 from gentianworks.process import Process, contain_failure, perform
 from gentianworks.settings import OperatorSettings
+from gentianworks.tests import gateways
 from gentianworks.tests.faulty_replicas import (
     FaultyReplica,
     build_answer,
@@ -61,7 +66,12 @@
     send,
 )
 from gentianworks.tests.fixtures import build_state
-from gentianworks.tests.gateways import KEY, get_gateway
+from gentianworks.tests.gateways import (
+    KEY,
+    build_gateway,
+    build_replicas,
+    get_gateway,
+)
 from gentianworks.tokens import OperatorRegistry, digest_token
 from gentianworks.web.operators import OperatorApplication
 
@@ -70,6 +80,9 @@
 
 OWN = build_answer("$ID", b"own answer")
 PAY: dict[str, Any] = {"path": "/pay/1", "prompt": (), "timeout": 1.5}
+REPLICA = build_replicas("books", 1, 4)[0]
+HOST = Header("host", "a.example")
+CALL = evolve(gateways.CALL, headers=(HOST,))
 CONTAINED_EFFECTS = {
     CallReplica,
     CancelReplicaCall,
@@ -156,6 +169,29 @@
         assert record.levelno == logging.ERROR
         assert type(effect).__name__ in str(record.__dict__["details"])
 
+    @pytest.mark.anyio
+    @pytest.mark.parametrize(
+        "effect",
+        [
+            CheckReplica(REPLICA),
+            FetchReplicas(),
+            CallReplica("x1", "a1", REPLICA, CALL, 1.0),
+        ],
+    )
+    async def test_a_timer_after_the_end_of_all_tasks_ends_nothing(
+        self, effect: Effect, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        """The check of a replica was due while its process stopped, which ended it."""
+        async with anyio.create_task_group() as tasks:
+            process = Process(build_gateway(), tasks)
+            process.add_adapter(ReplicaClient())
+            process.add_adapter(ListingClient("127.0.0.1:9"))
+            process.add_adapter(Metrics())
+        fail_in_process(effect, process)
+        codes = [item.getMessage() for item in caplog.records]
+        assert codes.count("GW1011") == 1
+        assert "GW1006" not in codes
+
     def test_an_effect_that_all_requests_need_ends_the_process(self) -> None:
         process = Process(build_state(), cast(TaskGroup, None))
         with pytest.raises(RuntimeError):
