Move the request limits into a folder of their own

The six modules about replicas that limit their requests are one subject; no line but their imports has changed.

--- a/gentianworks/core/events/membership.py
+++ b/gentianworks/core/events/membership.py
@@ -5,8 +5,8 @@
 from attrs import field, frozen
 
 from gentianworks.core.events.base import Event, Message
-from gentianworks.core.gateway.replica_limits import LentShare, ReportedLimit
 from gentianworks.core.gateway.replicas import ListVersion
+from gentianworks.core.request_limits.replica_limits import LentShare, ReportedLimit
 from gentianworks.core.types import (
     EndpointName,
     Load,
--- a/gentianworks/core/gateway/attempts.py
+++ b/gentianworks/core/gateway/attempts.py
@@ -23,11 +23,11 @@
     fail_call,
     send_to_best_replica,
 )
-from gentianworks.core.gateway.limit_notices import record_limit
 from gentianworks.core.gateway.log_details import describe_call
 from gentianworks.core.gateway.route_table import RetryPolicy
 from gentianworks.core.gateway.state import GatewayExchange, GatewayState
 from gentianworks.core.reducer import reduce
+from gentianworks.core.request_limits.notices import record_limit
 from gentianworks.core.routing.retry import combine_run_states
 from gentianworks.core.state import State
 from gentianworks.core.types import Problem, ProblemKind, RunState
--- a/gentianworks/core/gateway/dispatch.py
+++ b/gentianworks/core/gateway/dispatch.py
@@ -19,11 +19,6 @@
 from gentianworks.core.gateway.admission import DEFAULT_DURATION, compute_retry_after
 from gentianworks.core.gateway.calls import Call
 from gentianworks.core.gateway.crashes import check_call
-from gentianworks.core.gateway.limit_checks import (
-    check_limits,
-    record_arrived_call,
-    record_sent_call,
-)
 from gentianworks.core.gateway.log_details import describe_call
 from gentianworks.core.gateway.placement import choose_replica
 from gentianworks.core.gateway.prompt_sources import find_prompt_source
@@ -37,6 +32,11 @@
 from gentianworks.core.gateway.state import GatewayExchange, GatewayState
 from gentianworks.core.hashing import hash_to_fraction
 from gentianworks.core.reducer import reduce
+from gentianworks.core.request_limits.checks import (
+    check_limits,
+    record_arrived_call,
+    record_sent_call,
+)
 from gentianworks.core.routing.retry import combine_run_states
 from gentianworks.core.state import State
 from gentianworks.core.types import ExchangeId, Problem, ProblemKind, RunState
--- a/gentianworks/core/membership/heartbeats.py
+++ b/gentianworks/core/membership/heartbeats.py
@@ -20,10 +20,6 @@
     RegionLoads,
 )
 from gentianworks.core.gateway.discovery import confirm_list
-from gentianworks.core.gateway.limit_updates import (
-    answer_limit_reports,
-    confirm_limits,
-)
 from gentianworks.core.gateway.list_distribution import describe_shared_list
 from gentianworks.core.gateway.replicas import ListVersion
 from gentianworks.core.load.agent_bounds import find_service, is_bound_above_floor
@@ -47,6 +43,10 @@
 )
 from gentianworks.core.reducer import reduce
 from gentianworks.core.replication.elections import is_leading
+from gentianworks.core.request_limits.updates import (
+    answer_limit_reports,
+    confirm_limits,
+)
 from gentianworks.core.routing.answers import handle_endpoint_loss
 from gentianworks.core.state import State
 from gentianworks.core.ticks import compute_next_tick
--- a/gentianworks/core/gateway/limit_checks.py
+++ b/gentianworks/core/request_limits/checks.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from gentianworks.core.gateway.admission import MIN_RETRY_AFTER, spread_retry_after
-from gentianworks.core.gateway.limit_updates import update_leader_contact
-from gentianworks.core.gateway.rank_demand import RankDemand
 from gentianworks.core.gateway.replicas import Replica, ReplicaName
 from gentianworks.core.gateway.state import GatewayExchange, GatewayState
+from gentianworks.core.request_limits.rank_demand import RankDemand
+from gentianworks.core.request_limits.updates import update_leader_contact
 from gentianworks.core.state import State
 from gentianworks.core.types import Problem, ProblemKind
 
--- a/gentianworks/core/gateway/limit_notices.py
+++ b/gentianworks/core/request_limits/notices.py
@@ -6,10 +6,10 @@
 from gentianworks.core.effects.lifecycle import LogEvent
 from gentianworks.core.events.gateway import ReplicaAnswerHead
 from gentianworks.core.gateway.notices import ReplicaNotices
-from gentianworks.core.gateway.replica_limits import LimitChange
 from gentianworks.core.gateway.replicas import Replica
 from gentianworks.core.gateway.state import GatewayState
 from gentianworks.core.membership.heartbeats import send_heartbeat
+from gentianworks.core.request_limits.replica_limits import LimitChange
 from gentianworks.core.state import State
 
 
--- a/gentianworks/core/gateway/limit_shares.py
+++ b/gentianworks/core/request_limits/shares.py
@@ -11,12 +11,12 @@
 
 from attrs import define, field, frozen
 
-from gentianworks.core.gateway.replica_limits import (
+from gentianworks.core.gateway.replicas import ListVersion, Replica, ReplicaName
+from gentianworks.core.request_limits.replica_limits import (
     END_DELAY,
     LentShare,
     ReportedLimit,
 )
-from gentianworks.core.gateway.replicas import ListVersion, Replica, ReplicaName
 from gentianworks.core.routing.placement import order_by_score
 from gentianworks.core.types import ServiceName
 
--- a/gentianworks/core/gateway/limit_updates.py
+++ b/gentianworks/core/request_limits/updates.py
@@ -8,9 +8,9 @@
 
 from gentianworks.core.events.membership import Heartbeat, HeartbeatAnswer
 from gentianworks.core.gateway.list_distribution import is_fetcher
-from gentianworks.core.gateway.replica_limits import LEADER_TIMEOUT, LentShare
 from gentianworks.core.gateway.replicas import ListVersion
 from gentianworks.core.gateway.state import GatewayState
+from gentianworks.core.request_limits.replica_limits import LEADER_TIMEOUT, LentShare
 from gentianworks.core.state import State
 
 
--- a/gentianworks/core/state.py
+++ b/gentianworks/core/state.py
@@ -6,7 +6,6 @@
 
 from gentianworks.core.agents.attempts import AgentState
 from gentianworks.core.configuration.distribution_state import DistributionState
-from gentianworks.core.gateway.limit_shares import LimitTable
 from gentianworks.core.gateway.shared_list import SharedList
 from gentianworks.core.gateway.state import GatewayState
 from gentianworks.core.load.table import LoadTable
@@ -17,6 +16,7 @@
 from gentianworks.core.quarantine.suspects import ReceivedSuspects
 from gentianworks.core.replication.control import ControlState
 from gentianworks.core.replication.timing import Timing
+from gentianworks.core.request_limits.shares import LimitTable
 from gentianworks.core.request_metrics import OpenSpans
 from gentianworks.core.routing.exchanges import RouterState
 from gentianworks.core.types import Configuration, Node
--- a/gentianworks/tests/test_limit_shares.py
+++ b/gentianworks/tests/test_limit_shares.py
@@ -8,18 +8,18 @@
 
 import pytest
 
-from gentianworks.core.gateway.limit_shares import (
+from gentianworks.core.gateway.replicas import ListVersion, Replica
+from gentianworks.core.request_limits.replica_limits import (
+    END_DELAY,
+    LentShare,
+    ReportedLimit,
+)
+from gentianworks.core.request_limits.shares import (
     ENDED_LIFETIME,
     MAX_ASSIGNMENTS,
     SETTLE_TIME,
     LimitTable,
 )
-from gentianworks.core.gateway.replica_limits import (
-    END_DELAY,
-    LentShare,
-    ReportedLimit,
-)
-from gentianworks.core.gateway.replicas import ListVersion, Replica
 
 NOW = 1000.0
 SETTLED_AT = NOW + SETTLE_TIME
--- a/gentianworks/tests/test_replica_limits.py
+++ b/gentianworks/tests/test_replica_limits.py
@@ -13,9 +13,11 @@
 from gentianworks.core.effects.gateway import CallReplica
 from gentianworks.core.effects.lifecycle import LogEvent, SendMessage
 from gentianworks.core.events.membership import Heartbeat, HeartbeatAnswer
-from gentianworks.core.gateway.limit_checks import MAX_RETRY_AFTER
 from gentianworks.core.gateway.notices import ReplicaNotices
-from gentianworks.core.gateway.replica_limits import (
+from gentianworks.core.gateway.replicas import ListVersion
+from gentianworks.core.handlers import reduce
+from gentianworks.core.request_limits.checks import MAX_RETRY_AFTER
+from gentianworks.core.request_limits.replica_limits import (
     CHANGE_TOLERANCE,
     END_DELAY,
     LEADER_TIMEOUT,
@@ -25,8 +27,6 @@
     TRANSITION_TIME,
     LentShare,
 )
-from gentianworks.core.gateway.replicas import ListVersion
-from gentianworks.core.handlers import reduce
 from gentianworks.core.state import State
 from gentianworks.core.types import ProblemKind, RunState
 from gentianworks.tests.gateways import (
