--- a/gentianworks/core/configuration/distribution.py
+++ b/gentianworks/core/configuration/distribution.py
@@ -29,8 +29,8 @@
     RevisionWanted,
 )
 from gentianworks.core.events.replication import ReplicatedStateRestored
-from gentianworks.core.gateway.discovery import request_missing_list
 from gentianworks.core.reducer import reduce
+from gentianworks.core.replica_list.discovery import request_missing_list
 from gentianworks.core.replication.proposals import confirm_read
 from gentianworks.core.state import State
 from gentianworks.core.types import Configuration, Role
--- a/gentianworks/core/gateway/state.py
+++ b/gentianworks/core/gateway/state.py
@@ -8,10 +8,10 @@
 from gentianworks.core.gateway.calls import Call
 from gentianworks.core.gateway.crash_tracker import CrashTracker
 from gentianworks.core.gateway.health import HealthTable
-from gentianworks.core.gateway.list_fetches import ListFetches
 from gentianworks.core.gateway.replicas import Replica, ReplicaName, ReplicaRegistry
 from gentianworks.core.gateway.route_table import RetryPolicy, Route, RouteTable
 from gentianworks.core.gateway.startup_queue import QueuedCall
+from gentianworks.core.replica_list.fetches import ListFetches
 from gentianworks.core.request_limits.rank_demand import RankDemand
 from gentianworks.core.request_limits.replica_limits import ReplicaLimits
 from gentianworks.core.routing.backoff import EndpointBackoff
--- a/gentianworks/core/lifecycle.py
+++ b/gentianworks/core/lifecycle.py
@@ -14,9 +14,9 @@
     ShutdownRequested,
     StopCheckDue,
 )
-from gentianworks.core.gateway.discovery import start_discovery
 from gentianworks.core.membership.heartbeats import send_heartbeat, start_heartbeats
 from gentianworks.core.reducer import reduce
+from gentianworks.core.replica_list.discovery import start_discovery
 from gentianworks.core.replication.handover import begin_handover, is_handover_complete
 from gentianworks.core.state import State
 from gentianworks.core.types import Role
--- a/gentianworks/core/membership/heartbeats.py
+++ b/gentianworks/core/membership/heartbeats.py
@@ -19,8 +19,6 @@
     PlatformPollDue,
     RegionLoads,
 )
-from gentianworks.core.gateway.discovery import confirm_list
-from gentianworks.core.gateway.list_distribution import describe_shared_list
 from gentianworks.core.gateway.replicas import ListVersion
 from gentianworks.core.load.agent_bounds import find_service, is_bound_above_floor
 from gentianworks.core.load.falls import announce_fall
@@ -42,6 +40,8 @@
     send_newer_replica_suspects,
 )
 from gentianworks.core.reducer import reduce
+from gentianworks.core.replica_list.discovery import confirm_list
+from gentianworks.core.replica_list.distribution import describe_shared_list
 from gentianworks.core.replication.elections import is_leading
 from gentianworks.core.request_limits.updates import (
     answer_limit_reports,
--- a/gentianworks/core/gateway/discovery.py
+++ b/gentianworks/core/replica_list/discovery.py
@@ -17,17 +17,17 @@
     ReplicaListWanted,
 )
 from gentianworks.core.gateway.dispatch import dispatch_queued_calls
-from gentianworks.core.gateway.list_distribution import (
-    fetch_shared_list,
-    record_failed_fetch,
-    record_shared_list,
-)
-from gentianworks.core.gateway.list_fetches import INTERVAL_JITTER
 from gentianworks.core.gateway.replicas import ListVersion, Replica, digest_replicas
-from gentianworks.core.gateway.shared_list import MAX_LIST_AGE
 from gentianworks.core.gateway.state import GatewayState
 from gentianworks.core.hashing import hash_to_fraction
 from gentianworks.core.reducer import reduce
+from gentianworks.core.replica_list.distribution import (
+    fetch_shared_list,
+    record_failed_fetch,
+    record_shared_list,
+)
+from gentianworks.core.replica_list.fetches import INTERVAL_JITTER
+from gentianworks.core.replica_list.shared_list import MAX_LIST_AGE
 from gentianworks.core.state import State
 
 FIRST_LIST_TIMEOUT = 1.5  # seconds; the longest election and a heartbeat
--- a/gentianworks/core/gateway/list_distribution.py
+++ b/gentianworks/core/replica_list/distribution.py
@@ -17,12 +17,12 @@
     ReplicaListWanted,
 )
 from gentianworks.core.gateway.replicas import ListVersion
-from gentianworks.core.gateway.shared_list import (
+from gentianworks.core.reducer import reduce
+from gentianworks.core.replica_list.shared_list import (
     MAX_WAITING_REQUESTS,
     ListChanges,
     SharedList,
 )
-from gentianworks.core.reducer import reduce
 from gentianworks.core.state import State
 
 MAX_OFFERED_ROUTERS = 64  # by a push; other routers ask after their next heartbeat
--- a/gentianworks/core/gateway/shared_list.py
+++ b/gentianworks/core/replica_list/shared_list.py
@@ -5,13 +5,13 @@
 from attrs import define, field, frozen
 
 from gentianworks.core.events.gateway import ReplicaListWanted
-from gentianworks.core.gateway.list_fetches import ListFetches
 from gentianworks.core.gateway.replicas import (
     ListVersion,
     Replica,
     ReplicaName,
     digest_replicas,
 )
+from gentianworks.core.replica_list.fetches import ListFetches
 
 # Seconds; a fetch interval of the leader, a heartbeat interval and a margin.
 MAX_LIST_AGE = 2.0
--- a/gentianworks/core/replication/elections.py
+++ b/gentianworks/core/replication/elections.py
@@ -13,8 +13,8 @@
     VoteRequest,
     VoteResponse,
 )
-from gentianworks.core.gateway.list_distribution import begin_list_term
 from gentianworks.core.reducer import reduce
+from gentianworks.core.replica_list.distribution import begin_list_term
 from gentianworks.core.replication.invariants import check_invariants
 from gentianworks.core.replication.leader import (
     append_command,
--- a/gentianworks/core/request_limits/updates.py
+++ b/gentianworks/core/request_limits/updates.py
@@ -7,9 +7,9 @@
 from __future__ import annotations
 
 from gentianworks.core.events.membership import Heartbeat, HeartbeatAnswer
-from gentianworks.core.gateway.list_distribution import is_fetcher
 from gentianworks.core.gateway.replicas import ListVersion
 from gentianworks.core.gateway.state import GatewayState
+from gentianworks.core.replica_list.distribution import is_fetcher
 from gentianworks.core.request_limits.replica_limits import LEADER_TIMEOUT, LentShare
 from gentianworks.core.state import State
 
--- a/gentianworks/core/state.py
+++ b/gentianworks/core/state.py
@@ -6,7 +6,6 @@
 
 from gentianworks.core.agents.attempts import AgentState
 from gentianworks.core.configuration.distribution_state import DistributionState
-from gentianworks.core.gateway.shared_list import SharedList
 from gentianworks.core.gateway.state import GatewayState
 from gentianworks.core.load.table import LoadTable
 from gentianworks.core.membership.fleet import Fleet
@@ -14,6 +13,7 @@
 from gentianworks.core.operators.state import OperatorsState
 from gentianworks.core.quarantine.crashes import PendingCrash
 from gentianworks.core.quarantine.suspects import ReceivedSuspects
+from gentianworks.core.replica_list.shared_list import SharedList
 from gentianworks.core.replication.control import ControlState
 from gentianworks.core.replication.timing import Timing
 from gentianworks.core.request_limits.shares import LimitTable
--- a/gentianworks/metrics.py
+++ b/gentianworks/metrics.py
@@ -16,11 +16,11 @@
     CountTokens,
     ObserveLatency,
 )
-from gentianworks.core.gateway.list_distribution import is_fetcher
 from gentianworks.core.ledger.ledger import Ledger
 from gentianworks.core.ledger.types import ClaimStatus
 from gentianworks.core.load.agent_bounds import compute_agent_bound
 from gentianworks.core.quarantine.replica_suspects import ReplicaSuspectRegistry
+from gentianworks.core.replica_list.distribution import is_fetcher
 from gentianworks.core.replication.elections import is_leading
 from gentianworks.core.replication.members import compute_required_voters
 from gentianworks.core.state import State
--- a/gentianworks/platform/runner.py
+++ b/gentianworks/platform/runner.py
@@ -19,9 +19,9 @@
 from gentianworks.core.effects.gateway import DecodeRoutes
 from gentianworks.core.events.gateway import RoutesDecoded
 from gentianworks.core.events.lifecycle import ProcessStarted, ShutdownRequested
-from gentianworks.core.gateway.list_fetches import ListFetches
-from gentianworks.core.gateway.shared_list import SharedList
 from gentianworks.core.gateway.state import GatewayState
+from gentianworks.core.replica_list.fetches import ListFetches
+from gentianworks.core.replica_list.shared_list import SharedList
 from gentianworks.core.replication.timing import Timing
 from gentianworks.core.state import State
 from gentianworks.core.types import Node, Role
--- a/gentianworks/tests/test_delays.py
+++ b/gentianworks/tests/test_delays.py
@@ -9,8 +9,8 @@
 import pytest
 
 from gentianworks.core.delays import double_delay
-from gentianworks.core.gateway.list_fetches import ListFetches
 from gentianworks.core.membership.roster import MAX_HOLD_TIME, compute_hold_time
+from gentianworks.core.replica_list.fetches import ListFetches
 from gentianworks.core.routing.backoff import MAX_FAILURE_SKIP, EndpointBackoff
 from gentianworks.tests.fixtures import NOW
 
--- a/gentianworks/tests/test_shared_list.py
+++ b/gentianworks/tests/test_shared_list.py
@@ -17,18 +17,18 @@
     ReplicaListFetched,
     ReplicaListOffered,
 )
-from gentianworks.core.gateway.list_fetches import MAX_THROTTLED_INTERVAL, ListFetches
 from gentianworks.core.gateway.replicas import (
     ListVersion,
     ReplicaRegistry,
     digest_replicas,
 )
-from gentianworks.core.gateway.shared_list import (
+from gentianworks.core.handlers import reduce
+from gentianworks.core.replica_list.fetches import MAX_THROTTLED_INTERVAL, ListFetches
+from gentianworks.core.replica_list.shared_list import (
     MAX_LIST_AGE,
     MAX_REMOVALS,
     SharedList,
 )
-from gentianworks.core.handlers import reduce
 from gentianworks.tests.gateways import (
     NOW,
     build_gateway,
--- a/properties/listed_fleet.py
+++ b/properties/listed_fleet.py
@@ -21,10 +21,10 @@
     ReplicaListOffered,
 )
 from gentianworks.core.events.lifecycle import ProcessStarted
-from gentianworks.core.gateway.list_fetches import ListFetches
 from gentianworks.core.gateway.replicas import Replica, ReplicaName, ReplicaRegistry
-from gentianworks.core.gateway.shared_list import SharedList
 from gentianworks.core.gateway.state import GatewayState
+from gentianworks.core.replica_list.fetches import ListFetches
+from gentianworks.core.replica_list.shared_list import SharedList
 from gentianworks.core.state import State
 from gentianworks.core.types import Node, Role
 from properties.control_group import SimulatedGroup, SimulatedHost, perform
