--- a/gentianworks/core/gateway/dispatch.py
+++ b/gentianworks/core/gateway/dispatch.py
@@ -20,8 +20,6 @@
 from gentianworks.core.gateway.calls import Call
 from gentianworks.core.gateway.crashes import check_call
 from gentianworks.core.gateway.log_details import describe_call
-from gentianworks.core.gateway.placement import choose_replica
-from gentianworks.core.gateway.prompt_sources import find_prompt_source
 from gentianworks.core.gateway.replicas import Replica
 from gentianworks.core.gateway.route_table import RetryPolicy, Route, WorkspaceKeys
 from gentianworks.core.gateway.startup_queue import (
@@ -31,6 +29,8 @@
 )
 from gentianworks.core.gateway.state import GatewayExchange, GatewayState
 from gentianworks.core.hashing import hash_to_fraction
+from gentianworks.core.placement.choice import choose_replica
+from gentianworks.core.placement.prompt_sources import find_prompt_source
 from gentianworks.core.reducer import reduce
 from gentianworks.core.request_limits.checks import (
     check_limits,
--- a/gentianworks/core/gateway/state.py
+++ b/gentianworks/core/gateway/state.py
@@ -7,10 +7,10 @@
 from gentianworks.core.events.gateway import ReplicaAnswerHead
 from gentianworks.core.gateway.calls import Call
 from gentianworks.core.gateway.crash_tracker import CrashTracker
-from gentianworks.core.gateway.health import HealthTable
 from gentianworks.core.gateway.replicas import Replica, ReplicaName, ReplicaRegistry
 from gentianworks.core.gateway.route_table import RetryPolicy, Route, RouteTable
 from gentianworks.core.gateway.startup_queue import QueuedCall
+from gentianworks.core.placement.health import HealthTable
 from gentianworks.core.replica_list.fetches import ListFetches
 from gentianworks.core.request_limits.rank_demand import RankDemand
 from gentianworks.core.request_limits.replica_limits import ReplicaLimits
--- a/gentianworks/tests/test_gateway_placement.py
+++ b/gentianworks/tests/test_gateway_placement.py
@@ -9,9 +9,9 @@
 from gentianworks.core.effects.gateway import CallReplica
 from gentianworks.core.events.gateway import ReplicaAnswerEnded, ReplicaListFetched
 from gentianworks.core.gateway.calls import PromptPart
-from gentianworks.core.gateway.health import RECORD_LIFETIME, HealthTable
 from gentianworks.core.gateway.replicas import WARM_UP_TIME, ReplicaLoad
 from gentianworks.core.handlers import reduce
+from gentianworks.core.placement.health import RECORD_LIFETIME, HealthTable
 from gentianworks.core.state import State
 from gentianworks.tests.gateways import (
     NOW,
