--- a/gentianworks/pages.py
+++ b/gentianworks/pages.py
@@ -9,8 +9,8 @@
 from pathlib import Path
 
 from gentianworks.declarations import DECLARATION_TYPES, KEY_DESCRIPTIONS
-from gentianworks.log import CATALOGUE
 from gentianworks.settings import describe_section, describe_settings
+from gentianworks.telemetry.log import CATALOGUE
 
 EVENTS_PAGE = "events.md"
 SETTINGS_PAGE = "settings.md"
@@ -25,7 +25,7 @@
     lines = [
         "# Log events",
         "",
-        "Generated from the catalogue in `gentianworks/log.py` by",
+        "Generated from the catalogue in `gentianworks/telemetry/log.py` by",
         "`python -m gentianworks.pages docs`. GW1 is the process, GW2 the control",
         "hosts' log, GW3 the ledger and quarantine, GW4 the agent, GW5 the router and",
         "membership, GW6 operators. Events that require an action are warnings.",
--- a/gentianworks/peers/sockets.py
+++ b/gentianworks/peers/sockets.py
@@ -17,8 +17,8 @@
 from gentianworks.codecs.messages import MessageCodec, MessageError
 from gentianworks.core.effects.lifecycle import SendMessage
 from gentianworks.core.events.base import Message
-from gentianworks.labels import OTHER, PeerTraffic
 from gentianworks.process import Process, contain_failure, perform
+from gentianworks.telemetry.labels import OTHER, PeerTraffic
 
 SEND_BUFFER_MESSAGES = 256
 RECEIVE_BUFFER_MESSAGES = 1024
--- a/gentianworks/platform/runner.py
+++ b/gentianworks/platform/runner.py
@@ -25,8 +25,6 @@
 from gentianworks.core.replication.timing import Timing
 from gentianworks.core.state import State
 from gentianworks.core.types import Node, Role
-from gentianworks.log import configure_logging
-from gentianworks.metrics import Metrics
 from gentianworks.outbox import OutboxMemory
 from gentianworks.peers.sockets import PeerSockets
 from gentianworks.platform.applications import (
@@ -55,6 +53,8 @@
     start_store,
 )
 from gentianworks.storage.store import OpenedStore
+from gentianworks.telemetry.log import configure_logging
+from gentianworks.telemetry.metrics import Metrics
 from gentianworks.web.metrics import MetricsApplication, answer_not_found
 from gentianworks.web.server import Application, Server, create_server
 
--- a/gentianworks/process.py
+++ b/gentianworks/process.py
@@ -29,8 +29,8 @@
 from gentianworks.core.handlers import reduce
 from gentianworks.core.request_metrics import derive_metrics
 from gentianworks.core.state import State
-from gentianworks.log import get_level
 from gentianworks.outbox import Outbox, OutboxMemory
+from gentianworks.telemetry.log import get_level
 
 EXIT_SOFTWARE_ERROR = 70  # EX_SOFTWARE of sysexits.h
 
--- a/gentianworks/runner.py
+++ b/gentianworks/runner.py
@@ -20,13 +20,13 @@
 from gentianworks.core.events.lifecycle import ProcessStarted, ShutdownRequested
 from gentianworks.core.state import State
 from gentianworks.core.types import Role
-from gentianworks.log import configure_logging
-from gentianworks.metrics import Metrics
 from gentianworks.peers.sockets import PeerSockets
 from gentianworks.process import Process
 from gentianworks.secret_files import read_secret
 from gentianworks.settings import Settings
 from gentianworks.storage.startup import open_store_or_exit, start_store
+from gentianworks.telemetry.log import configure_logging
+from gentianworks.telemetry.metrics import Metrics
 from gentianworks.tokens import OperatorRegistry
 from gentianworks.web.agents import AgentClient
 from gentianworks.web.cache_exports import CacheSender
--- /dev/null
+++ b/gentianworks/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Telemetry: the logs and metrics of a process."""
--- a/gentianworks/log.py
+++ b/gentianworks/telemetry/log.py
@@ -9,8 +9,8 @@
 
 from attrs import frozen
 
-from gentianworks.log_writer import BoundedHandler
 from gentianworks.settings import LogSettings
+from gentianworks.telemetry.log_writer import BoundedHandler
 
 NO_REMEDY = "No action is needed."
 
--- a/gentianworks/metrics.py
+++ b/gentianworks/telemetry/metrics.py
@@ -25,9 +25,9 @@
 from gentianworks.core.replication.members import compute_required_voters
 from gentianworks.core.state import State
 from gentianworks.core.types import Role
-from gentianworks.labels import OTHER, LabelLimiter
 from gentianworks.peers.sockets import PeerSockets
 from gentianworks.process import Process, contain_failure, perform
+from gentianworks.telemetry.labels import OTHER, LabelLimiter
 
 LATENCY_BUCKETS = (0.01, 0.05, 0.1, 0.25, 0.5, 0.7, 1, 2, 5, 10, 30, 120, float("inf"))
 
--- a/gentianworks/tests/faulty_replicas.py
+++ b/gentianworks/tests/faulty_replicas.py
@@ -27,11 +27,11 @@
     ReplicaRegistry,
 )
 from gentianworks.core.types import Header
-from gentianworks.metrics import Metrics
 from gentianworks.outbox import Outbox
 from gentianworks.platform import applications
 from gentianworks.platform.replicas import ReplicaClient
 from gentianworks.process import Process
+from gentianworks.telemetry.metrics import Metrics
 from gentianworks.tests.gateways import CALL, build_gateway, get_gateway
 
 assert applications  # registers the functions that perform parts of answers
--- a/gentianworks/tests/test_failed_effects.py
+++ b/gentianworks/tests/test_failed_effects.py
@@ -49,7 +49,6 @@
 from gentianworks.core.events.orders import OrderRequested
 from gentianworks.core.gateway.route_table import WorkspaceKeys, digest_key
 from gentianworks.core.types import Header, Problem, ProblemKind, RunState
-from gentianworks.metrics import Metrics
 from gentianworks.peers.sockets import PeerSockets
 from gentianworks.platform import applications, replica_listing, replicas
 from gentianworks.platform.calls import encode_problem
@@ -57,6 +56,7 @@
 from gentianworks.platform.replicas import ReplicaClient
 from gentianworks.process import Process, contain_failure, perform
 from gentianworks.settings import OperatorSettings
+from gentianworks.telemetry.metrics import Metrics
 from gentianworks.tests import gateways
 from gentianworks.tests.faulty_replicas import (
     FaultyReplica,
--- a/gentianworks/tests/test_log_writer.py
+++ b/gentianworks/tests/test_log_writer.py
@@ -9,8 +9,12 @@
 
 import pytest
 
-from gentianworks.log import JsonFormatter
-from gentianworks.log_writer import MAX_BUFFERED_BYTES, MAX_BURST_LINES, BoundedHandler
+from gentianworks.telemetry.log import JsonFormatter
+from gentianworks.telemetry.log_writer import (
+    MAX_BUFFERED_BYTES,
+    MAX_BURST_LINES,
+    BoundedHandler,
+)
 
 PIPE_BYTES = 64 * 1024
 
--- a/gentianworks/tests/test_metrics.py
+++ b/gentianworks/tests/test_metrics.py
@@ -9,8 +9,8 @@
 import pytest
 
 from gentianworks.codecs.usage import AnswerTail, Usage, find_usage
-from gentianworks.labels import MAX_LABEL_VALUES, OTHER, PeerTraffic
-from gentianworks.metrics import Metrics
+from gentianworks.telemetry.labels import MAX_LABEL_VALUES, OTHER, PeerTraffic
+from gentianworks.telemetry.metrics import Metrics
 from standins.fleet import Fleet, FleetPlan, plan_endpoints
 
 WORKSPACE = (b"gw-workspace", b"parish")
--- a/gentianworks/tests/test_pages.py
+++ b/gentianworks/tests/test_pages.py
@@ -8,7 +8,12 @@
 from pathlib import Path
 
 from gentianworks import pages
-from gentianworks.log import CATALOGUE, JsonFormatter, TextFormatter, get_level
+from gentianworks.telemetry.log import (
+    CATALOGUE,
+    JsonFormatter,
+    TextFormatter,
+    get_level,
+)
 
 ROOT = Path(__file__).parents[2]
 FAULT = ValueError("a fault")
--- a/gentianworks/tests/test_platform_applications.py
+++ b/gentianworks/tests/test_platform_applications.py
@@ -24,7 +24,6 @@
 )
 from gentianworks.core.operators.reports import RoutesReport
 from gentianworks.core.types import Configuration
-from gentianworks.metrics import Metrics
 from gentianworks.platform import applications
 from gentianworks.platform.applications import (
     ClientApplication,
@@ -33,6 +32,7 @@
 )
 from gentianworks.platform.replicas import ReplicaClient
 from gentianworks.process import Process
+from gentianworks.telemetry.metrics import Metrics
 from gentianworks.tests.fixtures import build_state
 from gentianworks.tests.gateways import EVENT_STREAM_HEAD, KEY, build_gateway
 
--- a/gentianworks/web/dispatches.py
+++ b/gentianworks/web/dispatches.py
@@ -10,9 +10,9 @@
 from gentianworks.codecs.messages import MessageCodec
 from gentianworks.core.effects.dispatch import CloseDispatch, SendFrame
 from gentianworks.core.events.dispatch import Dispatch, RouterDisconnected
-from gentianworks.metrics import Metrics
 from gentianworks.outbox import MAX_COALESCED_BYTES, Outbox
 from gentianworks.process import Process, perform
+from gentianworks.telemetry.metrics import Metrics
 from gentianworks.web.cache_imports import CACHE_PATH, CacheReceiver
 from gentianworks.web.server import (
     Receive,
--- a/gentianworks/web/metrics.py
+++ b/gentianworks/web/metrics.py
@@ -4,8 +4,8 @@
 
 from attrs import define
 
-from gentianworks.metrics import Metrics
 from gentianworks.process import Process
+from gentianworks.telemetry.metrics import Metrics
 from gentianworks.web.server import Application, Receive, Scope, Send, send_response
 
 METRICS_PATH = "/metrics"
--- a/gentianworks/web/operators.py
+++ b/gentianworks/web/operators.py
@@ -29,8 +29,8 @@
 from gentianworks.core.events.quarantine import SuspectReleaseRequested
 from gentianworks.core.operators.reports import Report
 from gentianworks.core.types import Problem, ProblemKind
-from gentianworks.metrics import Metrics
 from gentianworks.process import Process
+from gentianworks.telemetry.metrics import Metrics
 from gentianworks.tokens import OperatorRegistry
 from gentianworks.web.answers import encode_headers
 from gentianworks.web.operator_exchanges import submit_request
