--- a/gentianworks/core/handlers.py
+++ b/gentianworks/core/handlers.py
@@ -17,7 +17,6 @@
 from gentianworks.core.configuration import distribution as configuration_distribution
 from gentianworks.core.gateway import attempts as gateway_attempts
 from gentianworks.core.gateway import crashes as gateway_crashes
-from gentianworks.core.gateway import discovery as gateway_discovery
 from gentianworks.core.gateway import dispatch as gateway_dispatch
 from gentianworks.core.gateway import route_updates as gateway_route_updates
 from gentianworks.core.gateway import suspect_updates as gateway_suspect_updates
@@ -40,6 +39,7 @@
 from gentianworks.core.quarantine import replica_crashes as quarantine_replica_crashes
 from gentianworks.core.quarantine import suspect_updates as quarantine_suspect_updates
 from gentianworks.core.reducer import reduce
+from gentianworks.core.replica_list import discovery as replica_list_discovery
 from gentianworks.core.replication import follower as replication_follower
 from gentianworks.core.replication import formation as replication_formation
 from gentianworks.core.replication import snapshots as replication_snapshots
@@ -59,7 +59,7 @@
     "configuration_change_requests",
     "configuration_distribution",
     "gateway_attempts",
-    "gateway_discovery",
+    "replica_list_discovery",
     "gateway_dispatch",
     "gateway_crashes",
     "gateway_route_updates",
