Read each figure of a replica's load by itself

What callers saw: on deployments whose Instance-Load has a fourth figure (how long work takes on that machine, in percent), routers knew no load at all and placed calls by their own alone. Cause: the reader wanted exactly three figures. Each figure is now read by itself; one that is broken, missing or unknown costs no other.

--- a/gentianworks/core/events/gateway.py
+++ b/gentianworks/core/events/gateway.py
@@ -59,8 +59,9 @@
 
     `is_not_run` is set if the replica reports that it has not run the call, and
     `is_other_replica` if another replica than the intended one uses the address.
-    `running` and `waiting` are the replica's load, -1 if it reports none. `defect`
-    describes why the answer contradicts itself, if it does.
+    `running` and `waiting` are the replica's load, -1 if it reports none. `slowness` is
+    how long work takes on its machine now, in percent of the usual, 0 if not reported.
+    `defect` describes why the answer contradicts itself, if it does.
     """
 
     status: int
@@ -71,6 +72,7 @@
     running: int = -1
     waiting: int = -1
     slots: int = 0
+    slowness: int = 0
     content_type: str = ""  # without parameters
     is_event_stream: bool = False
     defect: str = ""
--- a/gentianworks/platform/header_names.py
+++ b/gentianworks/platform/header_names.py
@@ -23,7 +23,8 @@
 RESPONSE_SIGNATURE = "response-signature"
 # Present if the replica has not run the request.
 NOT_EXECUTED = "not-executed"
-# Numbers of running requests, waiting requests and slots, separated by commas.
+# Numbers of running requests, waiting requests and slots, separated by commas; then, on
+# some deployments, how long work takes there now, in percent of the usual.
 INSTANCE_LOAD = "instance-load"
 # Requests a second, a decimal number, that the replica takes from all routers together.
 SERVER_LIMIT = "server-limit"
--- a/gentianworks/platform/replicas.py
+++ b/gentianworks/platform/replicas.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 
-from attrs import define, field
+from attrs import define, field, fields, frozen
 
 from gentianworks.codecs.server_events import (
     EVENT_STREAM,
@@ -230,7 +230,7 @@
         defect = f"the answer with status {status} claims that the call was not run"
     if status > MAX_STATUS:
         defect = f"the answer has the status {status}, which no caller understands"
-    running, waiting, slots = _read_load(values.get(header_names.INSTANCE_LOAD, ""))
+    load = _read_load(values.get(header_names.INSTANCE_LOAD, ""))
     kept = tuple(item for item in headers if item.name not in header_names.HOP_HEADERS)
     length = tuple(item for item in headers if item.name == "content-length")
     return ReplicaAnswerHead(
@@ -239,9 +239,10 @@
         is_signed=header_names.RESPONSE_SIGNATURE in values,
         is_not_run=is_other or (is_refusal and not defect),
         is_other_replica=is_other,
-        running=running,
-        waiting=waiting,
-        slots=slots,
+        running=load.running,
+        waiting=load.waiting,
+        slots=max(0, load.slots),
+        slowness=max(0, load.slowness),
         content_type=values.get("content-type", "").partition(";")[0].strip().lower(),
         is_event_stream=values.get("content-type", "").startswith(EVENT_STREAM),
         defect=defect,
@@ -249,11 +250,20 @@
     )
 
 
-def _read_load(text: str) -> tuple[int, int, int]:
+@frozen
+class _LoadFigures:
+    """Figures of a replica's load; -1 stands for one that is missing or broken."""
+
+    running: int = -1
+    waiting: int = -1
+    slots: int = -1
+    slowness: int = -1
+
+
+def _read_load(text: str) -> _LoadFigures:
     parts = [part.strip() for part in text.split(",")]
-    if len(parts) != 3 or not all(map(_is_count, parts)):
-        return (-1, -1, 0)
-    return (int(parts[0]), int(parts[1]), int(parts[2]))
+    figures = [int(part) if _is_count(part) else -1 for part in parts]
+    return _LoadFigures(*figures[: len(fields(_LoadFigures))])
 
 
 def _is_count(text: str) -> bool:
