Evacuate availability zones through the replicated log

What operators saw: POST /evacuate/ZONE was answered 404 "no such call", and calls went on to the zone. An order is now a command of the replicated log, acknowledged after its commit and audited; the leader pushes the zones to the routers, heartbeats repair what they miss by revision, and a router that starts gets them with the revision that a quorum confirmed, before it has a route table. Placement, retries and resumed streams avoid the zone; its replicas count as idle in the mean of the load bound. Where services limit cold replicas, a reopened zone waits for a list that tells which of its replicas are cold.

Ruled out: a field of the configuration, whose revision is the operators' version and can't rise by itself. A command that is applied once more (it may be resent to a new leader) would undo a later order, so the latest proposals are kept. gentianworks evacuate sends the same order on the product's own path.

--- a/gentianworks/cli.py
+++ b/gentianworks/cli.py
@@ -7,6 +7,7 @@
 from gentianworks.commandline import (
     audit_trail,
     changes,
+    evacuations,
     inspection,
     orders,
     queries,
@@ -25,6 +26,7 @@
     changes,
     queries,
     orders,
+    evacuations,
     audit_trail,
     setup,
     inspection,
--- a/gentianworks/core/configuration/distribution.py
+++ b/gentianworks/core/configuration/distribution.py
@@ -19,6 +19,7 @@
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.gateway import DecodeRoutes
 from gentianworks.core.effects.lifecycle import LogEvent, SendMessage, SetTimer
+from gentianworks.core.evacuations.routers import update_evacuations
 from gentianworks.core.events.configuration import (
     ConfigurationActivated,
     ConfigurationOffered,
@@ -244,7 +245,15 @@
 def _(event: RevisionReadConfirmed, state: State, now: float) -> list[Effect]:
     revision = state.control.replicated.configuration.revision
     own = state.node.peer_address
-    answer = RevisionConfirmed(state.node.name, event.nonce, revision, own)
+    evacuations = state.control.replicated.evacuations
+    answer = RevisionConfirmed(
+        state.node.name,
+        event.nonce,
+        revision,
+        own,
+        evacuations.revision,
+        tuple(evacuations.zones),
+    )
     return [SendMessage(event.peer_address, answer)]
 
 
@@ -262,7 +271,12 @@
     ):
         return []
     distribution.confirmed_revision = event.revision
-    missing = request_missing_list(state)
+    missing = [
+        *update_evacuations(
+            event.evacuations_revision, event.evacuated_zones, state, now
+        ),
+        *request_missing_list(state),
+    ]
     if not distribution.is_behind():
         return [*missing, *_put_in_force(state, now)]
     # Another control host, such as one with a new disk, may lack this revision.
--- /dev/null
+++ b/gentianworks/core/evacuations/control.py
@@ -0,0 +1,130 @@
+"""Control: a control host's handlers for evacuations of availability zones."""
+
+from __future__ import annotations
+
+from gentianworks.core.commands.base import (
+    Command,
+    apply_command,
+    handle_outcome,
+    handle_unknown_outcome,
+)
+from gentianworks.core.commands.evacuations import EvacuationSet, SetEvacuation
+from gentianworks.core.effects.base import Effect
+from gentianworks.core.effects.lifecycle import LogEvent, SendMessage
+from gentianworks.core.effects.operators import AnswerOperator
+from gentianworks.core.evacuations.registry import MAX_EVACUATED_ZONES
+from gentianworks.core.events.evacuations import (
+    EvacuationRequested,
+    EvacuationsChanged,
+)
+from gentianworks.core.events.membership import Heartbeat
+from gentianworks.core.operators.audit import AuditAction
+from gentianworks.core.operators.audited_actions import record_action
+from gentianworks.core.operators.read_requests import refuse_pending_request
+from gentianworks.core.operators.reports import EvacuationReport
+from gentianworks.core.reducer import reduce
+from gentianworks.core.replication.elections import is_leading
+from gentianworks.core.replication.proposals import propose
+from gentianworks.core.replication.replicated_state import ReplicatedState
+from gentianworks.core.state import State
+from gentianworks.core.types import Problem, ProblemKind
+
+MAX_NOTIFIED_ROUTERS = 64  # by a push; other routers are told after a heartbeat
+RETRY_AFTER = 1.0  # seconds
+
+
+@reduce.register
+def _(event: EvacuationRequested, state: State, now: float) -> list[Effect]:
+    state.operators.pending_requests[event.exchange] = event
+    command = SetEvacuation(
+        proposal=event.exchange,
+        proposed_at=now,
+        operator=event.operator,
+        zone=event.zone,
+        is_evacuated=event.is_evacuated,
+    )
+    return propose(command, state, now)
+
+
+@apply_command.register
+def _(command: SetEvacuation, replicated: ReplicatedState) -> EvacuationSet:
+    evacuations = replicated.evacuations
+    has_room = evacuations.has_room(command.zone, command.is_evacuated)
+    is_changed = evacuations.set_evacuated(
+        command.zone, command.is_evacuated, command.proposal
+    )
+    if is_changed:
+        detail = f"zone {command.zone}: {_describe_state(command.is_evacuated)}"
+        record_action(
+            command, command.operator, AuditAction.EVACUATED, detail, replicated
+        )
+    return EvacuationSet(evacuations.revision, is_changed, has_room)
+
+
+@handle_unknown_outcome.register
+def _(
+    command: SetEvacuation, problem: Problem, state: State, now: float
+) -> list[Effect]:
+    return refuse_pending_request(command.proposal, problem, state)
+
+
+@handle_outcome.register
+def _(
+    outcome: EvacuationSet, command: Command, state: State, now: float
+) -> list[Effect]:
+    assert isinstance(command, SetEvacuation)
+    effects = _notify_routers(state, now) if outcome.is_changed else []
+    request = state.operators.pending_requests.pop(command.proposal, None)
+    if request is None:
+        return effects
+    if not outcome.has_room:
+        answer = AnswerOperator(command.proposal, None, _describe_no_room(command))
+        return [*effects, answer]
+    details = (
+        ("operator", command.operator),
+        ("zone", command.zone),
+        ("state", _describe_state(command.is_evacuated)),
+        ("revision", str(outcome.revision)),
+        ("changed", str(outcome.is_changed)),
+    )
+    report = EvacuationReport(command.zone, command.is_evacuated, outcome.revision)
+    return [
+        LogEvent("GW6004", details),
+        AnswerOperator(command.proposal, report),
+        *effects,
+    ]
+
+
+def send_newer_evacuations(event: Heartbeat, state: State) -> list[Effect]:
+    """Send the evacuated zones to a router whose heartbeat has an older revision."""
+    revision = state.control.replicated.evacuations.revision
+    if event.endpoint or event.evacuations_revision >= revision:
+        return []
+    return [SendMessage(event.peer_address, _build_notice(state))]
+
+
+def _notify_routers(state: State, now: float) -> list[Effect]:
+    if not is_leading(state, now):
+        return []
+    notice = _build_notice(state)
+    routers = list(state.router_heartbeats)[:MAX_NOTIFIED_ROUTERS]
+    return [SendMessage(address, notice) for address in routers]
+
+
+def _build_notice(state: State) -> EvacuationsChanged:
+    evacuations = state.control.replicated.evacuations
+    zones = tuple(evacuations.zones)
+    return EvacuationsChanged(state.node.name, evacuations.revision, zones)
+
+
+def _describe_state(is_evacuated: bool) -> str:
+    return "evacuated" if is_evacuated else "open"
+
+
+def _describe_no_room(command: SetEvacuation) -> Problem:
+    return Problem(
+        ProblemKind.NOT_READY,
+        f"{MAX_EVACUATED_ZONES} zones are evacuated, which is the maximum; "
+        f"reopen one before zone {command.zone!r} is evacuated.",
+        retry_after=RETRY_AFTER,
+    )
--- a/gentianworks/core/events/configuration.py
+++ b/gentianworks/core/events/configuration.py
@@ -44,12 +44,16 @@
     """Revision that a quorum confirmed after the request was made.
 
     `peer_address` is that of the control host which has the revision. A relay leaves it
-    empty, so that the requester doesn't contact the control hosts directly.
+    empty, so that the requester doesn't contact the control hosts directly. The zones
+    that are evacuated come with it, so that a process that starts knows them before
+    its configuration takes effect.
     """
 
     nonce: str
     revision: int
     peer_address: str = ""
+    evacuations_revision: int = 0
+    evacuated_zones: tuple[str, ...] = ()
 
 
 @frozen
--- a/gentianworks/core/events/membership.py
+++ b/gentianworks/core/events/membership.py
@@ -34,7 +34,8 @@
 
     `epoch` and `version` identify the state of the fleet's endpoints that the node has,
     and `suspects_version` its list of suspects; `replica_suspects_version` that of what
-    crashes replicas. With `asks_sum`, any control host
+    crashes replicas, and `evacuations_revision` that of the evacuated zones. With
+    `asks_sum`, any control host
     responds with the load sum that it knows. `sent_at` is in seconds of the node's
     clock. `limits` are the replicas' request limits that a router has learned, and
     `limits_version` is its version of the leader's table of them.
@@ -50,6 +51,7 @@
     version: int = 0
     suspects_version: int = 0
     replica_suspects_version: int = 0
+    evacuations_revision: int = 0
     ranks: tuple[RankLoad, ...] = ()
     sent_at: float = 0.0
     asks_sum: bool = False
--- a/gentianworks/core/gateway/dispatch.py
+++ b/gentianworks/core/gateway/dispatch.py
@@ -42,6 +42,7 @@
 from gentianworks.core.types import ExchangeId, Problem, ProblemKind, RunState
 
 RETRY_AFTER = 0.3  # seconds; about the time to discover a replica or receive a table
+EVACUATION_RETRY_AFTER = 2.0  # seconds; an operator decides when a zone reopens
 MAX_STARTUP_TIME = 1.5  # seconds; the longest election and a heartbeat
 GRACE_DURATION_MULTIPLE = 2.0  # of the mean; covers most calls of a service
 ANSWER_MARGIN = 0.02  # seconds; lets an answer at the deadline still reach the caller
@@ -195,7 +196,8 @@
         exchange.service, exchange.call, exchange.tried_replicas, gateway, now
     )
     if replica is None:
-        return fail_call(exchange, _describe_no_replica(exchange), gateway, now)
+        problem = _describe_no_replica(exchange, gateway)
+        return fail_call(exchange, problem, gateway, now)
     retry_after = compute_retry_after(exchange, replica, gateway, now)
     if retry_after:
         problem = _describe_overload(exchange, retry_after)
@@ -352,7 +354,17 @@
     )
 
 
-def _describe_no_replica(exchange: GatewayExchange) -> Problem:
+def _describe_no_replica(exchange: GatewayExchange, gateway: GatewayState) -> Problem:
+    registry = gateway.registry
+    if not registry.list_usable(exchange.service) and registry.count_evacuated(
+        exchange.service
+    ):
+        return Problem(
+            ProblemKind.NO_ENDPOINT,
+            f"The availability zones of all replicas of {exchange.service!r} are "
+            f"evacuated; retry when one is open again.",
+            retry_after=EVACUATION_RETRY_AFTER,
+        )
     return Problem(
         ProblemKind.NO_ENDPOINT,
         f"No replica of {exchange.service!r} is available for the call; retry later.",
--- a/gentianworks/core/gateway/replicas.py
+++ b/gentianworks/core/gateway/replicas.py
@@ -7,6 +7,7 @@
 import xxhash
 from attrs import astuple, define, field, frozen
 
+from gentianworks.core.evacuations.registry import KnownEvacuations
 from gentianworks.core.types import ServiceName
 
 ReplicaName = str
@@ -83,6 +84,7 @@
     version: ListVersion = field(factory=ListVersion)
     # Seconds; the last time at which the platform is known to have had this list.
     current_at: float = float("-inf")
+    evacuations: KnownEvacuations = field(factory=KnownEvacuations)
 
     def update(
         self,
@@ -134,8 +136,21 @@
             if item.service == service
             and not item.is_leaving
             and item.name not in self.misaddressed
+            and not self.is_evacuated(item)
         ]
 
+    def is_evacuated(self, replica: Replica) -> bool:
+        """Return whether calls avoid the zone of a replica."""
+        zone = replica.availability_zone
+        return self.evacuations.is_closed(zone, self.current_at)
+
+    def count_evacuated(self, service: ServiceName) -> int:
+        """Return the number of replicas that get no calls because of their zone."""
+        return sum(
+            item.service == service and not item.is_leaving and self.is_evacuated(item)
+            for item in self.replicas.values()
+        )
+
     def list_reachable(self, service: ServiceName) -> list[Replica]:
         """Return the replicas of a service, including those that are leaving."""
         return [
--- a/gentianworks/core/gateway/route_table.py
+++ b/gentianworks/core/gateway/route_table.py
@@ -67,6 +67,10 @@
     health_path: str
     max_connections: int
     engine: EngineCapacity | None = None
+    # Requests a second that a replica tolerates from all routers while it is cold, and
+    # the time in seconds for which it is cold after its start; 0 if it is not limited.
+    cold_rate: float = 0.0
+    cold_time: float = 0.0
 
 
 @frozen
--- a/gentianworks/core/handlers.py
+++ b/gentianworks/core/handlers.py
@@ -15,6 +15,8 @@
     change_requests as configuration_change_requests,
 )
 from gentianworks.core.configuration import distribution as configuration_distribution
+from gentianworks.core.evacuations import control as evacuations_control
+from gentianworks.core.evacuations import routers as evacuations_routers
 from gentianworks.core.gateway import attempts as gateway_attempts
 from gentianworks.core.gateway import crashes as gateway_crashes
 from gentianworks.core.gateway import dispatch as gateway_dispatch
@@ -58,6 +60,8 @@
     "cache_offers",
     "configuration_change_requests",
     "configuration_distribution",
+    "evacuations_control",
+    "evacuations_routers",
     "gateway_attempts",
     "replica_list_discovery",
     "gateway_dispatch",
--- a/gentianworks/core/membership/heartbeats.py
+++ b/gentianworks/core/membership/heartbeats.py
@@ -7,6 +7,7 @@
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.lifecycle import LogEvent, SendMessage, SetTimer
 from gentianworks.core.effects.membership import FetchHosts
+from gentianworks.core.evacuations.control import send_newer_evacuations
 from gentianworks.core.events.engines import LoadsOverdue, LoadsReceived
 from gentianworks.core.events.membership import (
     ControlHostsTold,
@@ -141,6 +142,7 @@
         version=state.fleet.version,
         suspects_version=state.suspects.version,
         replica_suspects_version=_get_replica_suspects_version(state),
+        evacuations_revision=state.evacuations.revision,
         ranks=state.agent.compute_rank_loads() if state.agent else (),
         sent_at=now,
         asks_sum=asks_sum,
@@ -210,7 +212,7 @@
     if not is_leading(state, now) or not roster.epoch:
         hosts = _send_control_hosts(event, state)
         announced = announce_fall(event.endpoint, state, now)
-        return [*sums, *hosts, *announced, *_send_suspects(event, state)]
+        return [*sums, *hosts, *announced, *_send_newer_state(event, state)]
     roster.record_heartbeat(event, state.configuration, now)
     if not event.endpoint:
         state.router_heartbeats[event.peer_address] = now
@@ -240,16 +242,17 @@
         *sums,
         SendMessage(event.peer_address, answer),
         *announce_fall(event.endpoint, state, now),
-        *_send_suspects(event, state),
+        *_send_newer_state(event, state),
         *send_due_order(event, state, now),
     ]
 
 
-def _send_suspects(event: Heartbeat, state: State) -> list[Effect]:
-    """Send a node what it lacks of the suspects; it may not reach the leader."""
+def _send_newer_state(event: Heartbeat, state: State) -> list[Effect]:
+    """Send a node what it lacks of the agreed state; it may not reach the leader."""
     return [
         *send_newer_suspects(event, state),
         *send_newer_replica_suspects(event, state),
+        *send_newer_evacuations(event, state),
     ]
 
 
--- a/gentianworks/core/membership/surveys.py
+++ b/gentianworks/core/membership/surveys.py
@@ -237,7 +237,7 @@
         chat=request.chat,
         revision=state.configuration.revision,
         candidates=tuple(
-            _report_candidate(endpoint, node_by_endpoint.get(endpoint.name))
+            _report_candidate(endpoint, node_by_endpoint.get(endpoint.name), state)
             for endpoint in _order_endpoints(request, state)
         ),
     )
@@ -258,8 +258,12 @@
     return order_endpoints(chat, request.exchange, endpoints)
 
 
-def _report_candidate(endpoint: Endpoint, node: SurveyedNode | None) -> CandidateReport:
+def _report_candidate(
+    endpoint: Endpoint, node: SurveyedNode | None, state: State
+) -> CandidateReport:
     reason = _explain_refusal(node)
+    if endpoint.availability_zone in state.control.replicated.evacuations.zones:
+        reason = "its availability zone is evacuated"
     return CandidateReport(
         endpoint=endpoint.name,
         availability_zone=endpoint.availability_zone,
--- a/gentianworks/core/operators/audit.py
+++ b/gentianworks/core/operators/audit.py
@@ -22,6 +22,7 @@
     RELEASED = "released"
     ORDERED = "ordered"
     MEMBERS = "members"
+    EVACUATED = "evacuated"
 
 
 @frozen
--- a/gentianworks/core/operators/reports.py
+++ b/gentianworks/core/operators/reports.py
@@ -43,6 +43,15 @@
     was_known: bool
 
 
+@frozen
+class EvacuationReport(Report):
+    """State of a zone after an operator's order, and the revision that has it."""
+
+    zone: str
+    is_evacuated: bool
+    revision: int
+
+
 @frozen
 class RoutesReport(Report):
     """Accepted table of routes, as it was submitted."""
--- a/gentianworks/core/placement/choice.py
+++ b/gentianworks/core/placement/choice.py
@@ -48,7 +48,7 @@
         return due
     loads = {item.name: _compute_load(item, gateway, now) for item in candidates}
     if call.affinity_key:
-        mean = _compute_mean(candidates, loads, gateway)
+        mean = _compute_mean(service, candidates, loads, gateway)
         return _choose_by_affinity(call.affinity_key, candidates, loads, mean)
     return _choose_least_loaded(call.request_id, candidates, loads)
 
@@ -71,17 +71,24 @@
 
 
 def _compute_mean(
-    candidates: list[Replica], loads: dict[ReplicaName, float], gateway: GatewayState
+    service: ServiceName,
+    candidates: list[Replica],
+    loads: dict[ReplicaName, float],
+    gateway: GatewayState,
 ) -> float:
     """Return the mean load of the replicas without a limit, or of all if none is left.
 
     The few calls of limited replicas would make the others' subjects spill to them.
+    Replicas of evacuated zones count as idle, since the load bound of the service
+    includes them.
     """
     limits = gateway.limits
     names = [x.name for x in candidates if limits.get_limit(x.name) is None]
     counted = [loads[name] for name in names or loads]
     # The loads count one more call at each replica; the mean must not.
-    return max(0.0, sum(counted) / len(counted) - 1)
+    mean = max(0.0, sum(counted) / len(counted) - 1)
+    evacuated = gateway.registry.count_evacuated(service)
+    return mean * len(candidates) / (len(candidates) + evacuated)
 
 
 def _choose_by_affinity(
--- a/gentianworks/core/replication/replicated_state.py
+++ b/gentianworks/core/replication/replicated_state.py
@@ -5,6 +5,7 @@
 from attrs import define, field
 
 from gentianworks.core.configuration.change_log import ChangeLog
+from gentianworks.core.evacuations.registry import Evacuations
 from gentianworks.core.ledger.ledger import Ledger
 from gentianworks.core.operators.audit import AuditTrail
 from gentianworks.core.orders.fencing import OrderRegistry
@@ -28,3 +29,4 @@
     replica_suspects: ReplicaSuspectRegistry = field(factory=ReplicaSuspectRegistry)
     orders: OrderRegistry = field(factory=OrderRegistry)
     order_records: OrderRecords = field(factory=OrderRecords)
+    evacuations: Evacuations = field(factory=Evacuations)
--- a/gentianworks/core/routing/dispatch.py
+++ b/gentianworks/core/routing/dispatch.py
@@ -146,7 +146,11 @@
     """Return the next endpoint to try for an exchange, or None."""
     request = exchange.request
     backoff = state.router.backoff
-    pool = state.configuration.list_endpoints(request.service)
+    pool = [
+        item
+        for item in state.configuration.list_endpoints(request.service)
+        if item.availability_zone not in state.evacuations.zones
+    ]
     available = [item for item in pool if not backoff.is_unavailable(item.name, now)]
     usable = state.fleet.select_endpoints(available)
     order = [
--- a/gentianworks/core/state.py
+++ b/gentianworks/core/state.py
@@ -6,6 +6,7 @@
 
 from gentianworks.core.agents.attempts import AgentState
 from gentianworks.core.configuration.distribution_state import DistributionState
+from gentianworks.core.evacuations.registry import KnownEvacuations
 from gentianworks.core.gateway.state import GatewayState
 from gentianworks.core.load.table import LoadTable
 from gentianworks.core.membership.fleet import Fleet
@@ -42,6 +43,7 @@
     maps the peer address of each router to the time of the last heartbeat that the
     leader received. `pending_crashes` are the crash reports that await an
     acknowledgement.
+    `evacuations` are the zones that a router was told to avoid.
     `shared_list` is set on control hosts that fetch the list of replicas for gateways,
     `limit_table` is used there.
     """
@@ -79,6 +81,11 @@
     operators: OperatorsState = field(factory=OperatorsState)
     suspects: ReceivedSuspects = field(factory=ReceivedSuspects)
     pending_crashes: dict[str, PendingCrash] = field(factory=dict)
+    evacuations: KnownEvacuations = field(factory=KnownEvacuations)
+
+    def __attrs_post_init__(self) -> None:
+        if self.gateway is not None:
+            self.gateway.registry.evacuations = self.evacuations
 
     def create_id(self) -> str:
         """Return an identifier that is unique over all processes and incarnations."""
--- a/gentianworks/platform/applications.py
+++ b/gentianworks/platform/applications.py
@@ -17,6 +17,8 @@
     RelayPiece,
     StartAnswer,
 )
+from gentianworks.core.evacuations.registry import describe_zone_fault
+from gentianworks.core.events.evacuations import EvacuationRequested
 from gentianworks.core.events.gateway import (
     CallAbandoned,
     CallArrived,
@@ -26,7 +28,7 @@
 from gentianworks.core.events.operators import OperatorRequest
 from gentianworks.core.gateway.route_table import RequestLimits
 from gentianworks.core.gateway.validation import validate_table
-from gentianworks.core.operators.reports import RoutesReport
+from gentianworks.core.operators.reports import EvacuationReport, RoutesReport
 from gentianworks.core.types import Header, Problem, ProblemKind
 from gentianworks.platform.calls import decode_call, encode_problem
 from gentianworks.platform.configuration import (
@@ -57,6 +59,8 @@
 WRITE_TIMEOUT = 10.0  # seconds; a client that reads nothing for longer is disconnected
 BODY_TIMEOUT = 10.0  # seconds; twice the longest upload of a client on a slow link
 MAX_CONFIGURATION_BYTES = 16 * 1024 * 1024  # four times the operators' largest document
+EVACUATION_PATH = "/evacuate/"
+MAX_ORDER_BYTES = 64 * 1024  # of a body that is ignored
 JSON_HEADERS = [(b"content-type", b"application/json")]
 OPERATOR_NAME = "platform"
 STATUS_UNAVAILABLE = 503
@@ -210,9 +214,35 @@
                 await self._execute(
                     RoutesRequested(exchange, OPERATOR_NAME), send, True
                 )
+            case ("POST" | "DELETE", path) if path.startswith(EVACUATION_PATH):
+                await self._set_evacuation(scope, receive, send)
+            case (_, path) if path.startswith(EVACUATION_PATH):
+                await _send_json(send, 405, b'{"error":"use POST or DELETE"}')
             case _:
                 await _send_json(send, 404, b'{"error":"no such call"}')
 
+    async def _set_evacuation(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Order that a zone gets no calls, or with DELETE that it gets them again."""
+        await read_body(receive, MAX_ORDER_BYTES)
+        zone = scope["path"].removeprefix(EVACUATION_PATH)
+        fault = describe_zone_fault(zone)
+        if fault:
+            await _send_invalid(fault, send)
+            return
+        order = EvacuationRequested(
+            self.process.state.create_id(),
+            OPERATOR_NAME,
+            zone,
+            is_evacuated=scope["method"] == "POST",
+        )
+        answer = await submit_request(order, self.process)
+        if not isinstance(answer.report, EvacuationReport):
+            detail = answer.problem.detail if answer.problem else "no answer"
+            await _send_json(send, STATUS_UNAVAILABLE, encode_error(detail))
+            return
+        body = b'{"revision":%d}' % answer.report.revision
+        await _send_json(send, 200, body)
+
     async def _replace(self, receive: Receive, send: Send) -> None:
         match await read_body(receive, self.limit):
             case Result(tag="ok", ok=body):
--- a/gentianworks/platform/configuration.py
+++ b/gentianworks/platform/configuration.py
@@ -158,6 +158,14 @@
     return seconds
 
 
+def _read_amount(value: Any) -> float:
+    """Return a finite number that is not negative; 0 stands for a missing one."""
+    amount = float(value or 0)
+    if not math.isfinite(amount) or amount < 0:
+        raise ValueError(f"an amount is {value!r}, not a number from 0")
+    return amount
+
+
 def _decode_route(item: dict[str, Any]) -> Route:
     kind = item["kind"]
     if kind not in ROUTE_KINDS:
@@ -210,6 +218,8 @@
         health_path=str(item.get("healthPath", "")),
         max_connections=_read_integer(item.get("maxConnections", 0)),
         engine=capacity,
+        cold_rate=_read_amount(item.get("coldPerS")),
+        cold_time=_read_amount(item.get("coldS")),
     )
 
 
--- a/gentianworks/telemetry/log.py
+++ b/gentianworks/telemetry/log.py
@@ -140,6 +140,7 @@
             "An operator's change was rejected.",
             "The operator has received the reason; the audit trail records it.",
         ),
+        CatalogueEntry("GW6004", "An order to evacuate or reopen a zone took effect."),
         CatalogueEntry(
             "GW6003",
             "A request without a valid operator token was rejected.",
@@ -229,6 +230,14 @@
             "A call could not be sent, for a reason that no replica is to blame for.",
             "Correct the header or the workspace name that the details name.",
         ),
+        CatalogueEntry(
+            "GW5130", "The evacuated availability zones are in force on this router."
+        ),
+        CatalogueEntry(
+            "GW5131",
+            "A reopened availability zone gets calls without a newer list.",
+            "Check that a control host leads and reaches the platform.",
+        ),
         CatalogueEntry("GW5113", "A leader's list of replicas has taken effect."),
         CatalogueEntry(
             "GW5114",
--- a/gentianworks/telemetry/metrics.py
+++ b/gentianworks/telemetry/metrics.py
@@ -132,6 +132,11 @@
             "replica_limits",
             "Replicas that limit their requests, and those of which a share is held.",
         )
+        self.evacuated_zones = self._add(
+            Gauge,
+            "evacuated_zones",
+            "Availability zones that get no new calls, as known to this process.",
+        )
         self.ledger_keys = self._add(
             Gauge, "ledger_keys", "Keys that this host's ledger holds, by status."
         )
@@ -165,6 +170,7 @@
         self.load.set({"kind": "exchanges"}, exchanges)
         self._set_list_metrics(state, now)
         self._set_limit_metrics(state)
+        self._set_evacuation_metrics(state)
         if state.node.role is Role.CONTROL:
             self._set_ledger_metrics(state.control.replicated.ledger)
             self._set_voter_metrics(state)
@@ -208,6 +214,13 @@
             limited = list(state.limit_table.entries)
             self.replica_limits.set({"state": "limited"}, len(limited))
 
+    def _set_evacuation_metrics(self, state: State) -> None:
+        if state.node.role is Role.CONTROL:
+            zones = len(state.control.replicated.evacuations.zones)
+        else:
+            zones = len(state.evacuations.zones)
+        self.evacuated_zones.set({}, zones)
+
     def _set_voter_metrics(self, state: State) -> None:
         replication = state.control.replication
         if replication is None:
--- a/gentianworks/web/operators.py
+++ b/gentianworks/web/operators.py
@@ -16,6 +16,8 @@
 
 from gentianworks.codecs.problems import encode_problem
 from gentianworks.core.effects.operators import AnswerOperator
+from gentianworks.core.evacuations.registry import describe_zone_fault
+from gentianworks.core.events.evacuations import EvacuationRequested
 from gentianworks.core.events.operators import (
     AuditRequested,
     ConfigurationChangeRequested,
@@ -50,6 +52,7 @@
     "/changes": ConfigurationChangeRequested,
     "/orders": OrderRequested,
     "/release": SuspectReleaseRequested,
+    "/evacuations": EvacuationRequested,
 }
 
 logger = logging.getLogger("gentianworks")
@@ -144,6 +147,10 @@
         request = _CONVERTER.structure(
             {**values, "exchange": exchange, "operator": operator}, kind
         )
+        if isinstance(request, EvacuationRequested):
+            fault = describe_zone_fault(request.zone)
+            if fault:
+                return Error(Problem(ProblemKind.BAD_REQUEST, fault))
     except Exception as error:
         detail = f"The request is invalid ({error!r}); run one release everywhere."
         return Error(Problem(ProblemKind.BAD_REQUEST, detail))
