Keep a late order from undoing a later evacuation

What could happen: a host that was cut off sent an order on for 5 s, and one that was frozen read it from a connection that its operator had closed; both reached the log after the operator had sent the order and its withdrawal through other hosts, and evacuated the zone again (or reopened it). A body that never ended kept an order open without a response. GW5131 told of a missing leader after every withdrawal, also when a newer list had come.

An order now carries the revision of the evacuations at its host. If its zone has changed since, the host proposes it anew while its operator waits, otherwise it is dropped with a 503; this replaces the list of the latest 256 proposals, which knew repeats only. A host proposes an order for 1 s, as long as operators wait. The platform's control address drops an order whose connection is closed, answers 408 after 1 s without the end of its body, and names the methods with a 405.

--- a/gentianworks/core/evacuations/control.py
+++ b/gentianworks/core/evacuations/control.py
@@ -31,41 +31,54 @@
 
 MAX_NOTIFIED_ROUTERS = 64  # by a push; other routers are told after a heartbeat
 RETRY_AFTER = 1.0  # seconds
+# Seconds after which an operator sends the order to another host. A host that proposed
+# it for longer could undo an order that was acknowledged elsewhere in the meantime.
+ORDER_TIMEOUT = 1.0
 
 
 @reduce.register
 def _(event: EvacuationRequested, state: State, now: float) -> list[Effect]:
     state.operators.pending_requests[event.exchange] = event
+    return _propose_order(event, now, state, now)
+
+
+def _propose_order(
+    event: EvacuationRequested, received_at: float, state: State, now: float
+) -> list[Effect]:
     command = SetEvacuation(
-        proposal=event.exchange,
-        proposed_at=now,
+        proposal=state.create_id(),
+        proposed_at=received_at,
         operator=event.operator,
         zone=event.zone,
         is_evacuated=event.is_evacuated,
+        known_revision=state.control.replicated.evacuations.revision,
+        exchange=event.exchange,
     )
-    return propose(command, state, now)
+    return propose(command, state, now, received_at + ORDER_TIMEOUT - now)
 
 
 @apply_command.register
 def _(command: SetEvacuation, replicated: ReplicatedState) -> EvacuationSet:
     evacuations = replicated.evacuations
-    has_room = evacuations.has_room(command.zone, command.is_evacuated)
-    is_changed = evacuations.set_evacuated(
-        command.zone, command.is_evacuated, command.proposal
-    )
+    zone, is_evacuated = command.zone, command.is_evacuated
+    if evacuations.is_stale(zone, is_evacuated, command.known_revision):
+        return EvacuationSet(evacuations.revision, is_changed=False, is_stale=True)
+    if not evacuations.has_room(zone, is_evacuated):
+        return EvacuationSet(evacuations.revision, is_changed=False, has_room=False)
+    is_changed = evacuations.set_evacuated(zone, is_evacuated)
     if is_changed:
-        detail = f"zone {command.zone}: {_describe_state(command.is_evacuated)}"
+        detail = f"zone {zone}: {_describe_state(is_evacuated)}"
         record_action(
             command, command.operator, AuditAction.EVACUATED, detail, replicated
         )
-    return EvacuationSet(evacuations.revision, is_changed, has_room)
+    return EvacuationSet(evacuations.revision, is_changed)
 
 
 @handle_unknown_outcome.register
 def _(
     command: SetEvacuation, problem: Problem, state: State, now: float
 ) -> list[Effect]:
-    return refuse_pending_request(command.proposal, problem, state)
+    return refuse_pending_request(command.exchange, problem, state)
 
 
 @handle_outcome.register
@@ -74,11 +87,13 @@
 ) -> list[Effect]:
     assert isinstance(command, SetEvacuation)
     effects = _notify_routers(state, now) if outcome.is_changed else []
-    request = state.operators.pending_requests.pop(command.proposal, None)
+    if outcome.is_stale:
+        return _repeat_order(command, state, now)
+    request = state.operators.pending_requests.pop(command.exchange, None)
     if request is None:
         return effects
     if not outcome.has_room:
-        answer = AnswerOperator(command.proposal, None, _describe_no_room(command))
+        answer = AnswerOperator(command.exchange, None, _describe_no_room(command))
         return [*effects, answer]
     details = (
         ("operator", command.operator),
@@ -90,11 +105,21 @@
     report = EvacuationReport(command.zone, command.is_evacuated, outcome.revision)
     return [
         LogEvent("GW6004", details),
-        AnswerOperator(command.proposal, report),
+        AnswerOperator(command.exchange, report),
         *effects,
     ]
 
 
+def _repeat_order(command: SetEvacuation, state: State, now: float) -> list[Effect]:
+    """Propose an order again that its operator still awaits, on the present state."""
+    request = state.operators.pending_requests.get(command.exchange)
+    if not isinstance(request, EvacuationRequested):
+        return []
+    if now >= command.proposed_at + ORDER_TIMEOUT:
+        return refuse_pending_request(command.exchange, _describe_stale(), state)
+    return _propose_order(request, command.proposed_at, state, now)
+
+
 def send_newer_evacuations(event: Heartbeat, state: State) -> list[Effect]:
     """Send the evacuated zones to a router whose heartbeat has an older revision."""
     revision = state.control.replicated.evacuations.revision
@@ -121,6 +146,14 @@
     return "evacuated" if is_evacuated else "open"
 
 
+def _describe_stale() -> Problem:
+    return Problem(
+        ProblemKind.NOT_READY,
+        "The state of the zone has changed since the order came; send it again.",
+        retry_after=RETRY_AFTER,
+    )
+
+
 def _describe_no_room(command: SetEvacuation) -> Problem:
     return Problem(
         ProblemKind.NOT_READY,
--- a/gentianworks/core/evacuations/registry.py
+++ b/gentianworks/core/evacuations/registry.py
@@ -6,7 +6,8 @@
 
 MAX_EVACUATED_ZONES = 256
 MAX_ZONE_CHARACTERS = 256
-MAX_RECENT_PROPOSALS = 256  # more than a group proposes until the last repeat arrives
+# Zones whose last change is known; enough for all evacuated ones and as many reopened.
+MAX_KNOWN_CHANGES = 2 * MAX_EVACUATED_ZONES
 LIST_LAG = 1.0  # seconds by which the list of replicas may be behind, and a margin
 
 
@@ -14,31 +15,41 @@
 class Evacuations:
     """Evacuated zones that the control hosts agree on.
 
-    `revision` rises with each change. `recent_proposals` are the latest commands, since
-    a command may be applied once more after a later one has taken effect.
+    `revision` rises with each change. `changed_in` maps zones to the revision of their
+    last change, and `forgotten_revision` is the last of those that are not kept. They
+    tell an order that was delayed on its way from one that the operator gave later.
     """
 
     revision: int = 0
     zones: list[str] = field(factory=list)
-    recent_proposals: list[str] = field(factory=list)
+    changed_in: dict[str, int] = field(factory=dict)
+    forgotten_revision: int = 0
 
-    def set_evacuated(self, zone: str, is_evacuated: bool, proposal: str) -> bool:
+    def set_evacuated(self, zone: str, is_evacuated: bool) -> bool:
         """Evacuate a zone or reopen it, and return whether anything has changed."""
-        if proposal in self.recent_proposals:
-            return False
-        self.recent_proposals.append(proposal)
-        del self.recent_proposals[:-MAX_RECENT_PROPOSALS]
-        if (zone in self.zones) == is_evacuated or not self.has_room(
-            zone, is_evacuated
-        ):
+        if (zone in self.zones) == is_evacuated:
             return False
         if is_evacuated:
             self.zones.append(zone)
         else:
             self.zones.remove(zone)
         self.revision += 1
+        self.changed_in.pop(zone, None)
+        self.changed_in[zone] = self.revision
+        self._forget_oldest_change()
         return True
 
+    def _forget_oldest_change(self) -> None:
+        if len(self.changed_in) > MAX_KNOWN_CHANGES:
+            oldest = next(iter(self.changed_in))
+            self.forgotten_revision = self.changed_in.pop(oldest)
+
+    def is_stale(self, zone: str, is_evacuated: bool, known_revision: int) -> bool:
+        """Return whether an order would undo a change that its host did not know."""
+        if (zone in self.zones) == is_evacuated:
+            return False
+        return self.changed_in.get(zone, self.forgotten_revision) > known_revision
+
     def has_room(self, zone: str, is_evacuated: bool) -> bool:
         """Return whether an order does not exceed the number of evacuated zones."""
         is_added = is_evacuated and zone not in self.zones
@@ -82,10 +93,15 @@
         withdrawn_at = self.withdrawn_at.get(zone)
         return withdrawn_at is not None and list_current_at < withdrawn_at + LIST_LAG
 
-    def end_wait(self, zone: str, withdrawn_at: float) -> None:
-        """Reopen a zone without a newer list, unless it was evacuated again."""
-        if self.withdrawn_at.get(zone) == withdrawn_at:
-            del self.withdrawn_at[zone]
+    def end_wait(self, zone: str, withdrawn_at: float) -> bool:
+        """End the wait of a zone that was reopened at a time, and return if it waited.
+
+        A zone that was evacuated again meanwhile does not wait.
+        """
+        if self.withdrawn_at.get(zone) != withdrawn_at:
+            return False
+        del self.withdrawn_at[zone]
+        return True
 
 
 def describe_zone_fault(zone: str) -> str:
--- a/gentianworks/core/evacuations/routers.py
+++ b/gentianworks/core/evacuations/routers.py
@@ -51,9 +51,10 @@
 @reduce.register
 def _(event: ZoneReopeningDue, state: State, now: float) -> list[Effect]:
     known, gateway = state.evacuations, state.gateway
-    has_waited = known.withdrawn_at.get(event.zone) == event.withdrawn_at
-    known.end_wait(event.zone, event.withdrawn_at)
+    has_waited = known.end_wait(event.zone, event.withdrawn_at)
     if not has_waited or gateway is None:
         return []
+    if gateway.registry.current_at >= event.withdrawn_at + LIST_LAG:
+        return []
     age = now - gateway.registry.current_at
     return [LogEvent("GW5131", (("zone", event.zone), ("list_age", f"{age:.2f}")))]
--- a/gentianworks/core/replication/proposals.py
+++ b/gentianworks/core/replication/proposals.py
@@ -29,17 +29,19 @@
 RETRY_AFTER = 1.0  # seconds
 
 
-def propose(command: Command, state: State, now: float) -> list[Effect]:
+def propose(
+    command: Command, state: State, now: float, timeout: float = PROPOSAL_TIMEOUT
+) -> list[Effect]:
     """Propose a command to the control hosts.
 
     `handle_outcome` runs once the command is applied; if it is not applied on this
-    host in time, `handle_unknown_outcome` runs instead.
+    host within `timeout` seconds, `handle_unknown_outcome` runs instead.
     """
     replication = state.control.replication
     if replication is None:
         outcome = apply_command(command, state.control.replicated)
         return handle_outcome(outcome, command, state, now)
-    pending = PendingProposal(command, now + PROPOSAL_TIMEOUT)
+    pending = PendingProposal(command, now + timeout)
     replication.pending_proposals[command.proposal] = pending
     return _submit(pending, state, now)
 
--- a/gentianworks/platform/applications.py
+++ b/gentianworks/platform/applications.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from functools import singledispatch
 from typing import Any
 
@@ -54,6 +55,7 @@
     Send,
     read_body,
     send_response,
+    wait_for_disconnect,
 )
 
 WRITE_TIMEOUT = 10.0  # seconds; a client that reads nothing for longer is disconnected
@@ -61,10 +63,15 @@
 MAX_CONFIGURATION_BYTES = 16 * 1024 * 1024  # four times the operators' largest document
 EVACUATION_PATH = "/evacuate/"
 MAX_ORDER_BYTES = 64 * 1024  # of a body that is ignored
+ORDER_BODY_TIMEOUT = 1.0  # seconds; operators wait no longer for the response
+# Seconds; enough to read the end of a connection that was closed while this process was
+# frozen. The order of an operator that went on without it must not run late.
+DISCONNECT_CHECK_TIME = 0.02
 JSON_HEADERS = [(b"content-type", b"application/json")]
 OPERATOR_NAME = "platform"
 STATUS_UNAVAILABLE = 503
 STATUS_INVALID = 400
+STATUS_TIMEOUT = 408
 
 
 @define
@@ -217,13 +224,23 @@
             case ("POST" | "DELETE", path) if path.startswith(EVACUATION_PATH):
                 await self._set_evacuation(scope, receive, send)
             case (_, path) if path.startswith(EVACUATION_PATH):
-                await _send_json(send, 405, b'{"error":"use POST or DELETE"}')
+                body = encode_error("Use POST or DELETE.")
+                await _send_json(send, 405, body, [(b"allow", b"POST, DELETE")])
             case _:
                 await _send_json(send, 404, b'{"error":"no such call"}')
 
     async def _set_evacuation(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Order that a zone gets no calls, or with DELETE that it gets them again."""
-        await read_body(receive, MAX_ORDER_BYTES)
+        with anyio.move_on_after(ORDER_BODY_TIMEOUT) as reading:
+            match await read_body(receive, MAX_ORDER_BYTES):
+                case Result(error=BodyFailure.DISCONNECTED):
+                    return
+                case Result(tag="ok") if await _has_disconnected(receive):
+                    return
+        if reading.cancelled_caught:
+            detail = f"The body was not complete within {ORDER_BODY_TIMEOUT:g} s."
+            await _send_json(send, STATUS_TIMEOUT, encode_error(detail))
+            return
         zone = scope["path"].removeprefix(EVACUATION_PATH)
         fault = describe_zone_fault(zone)
         if fault:
@@ -297,6 +314,13 @@
             await _send_json(send, 200, decode_document(document))
 
 
+async def _has_disconnected(receive: Receive) -> bool:
+    """Return whether the operator has closed the connection of a complete request."""
+    with anyio.move_on_after(DISCONNECT_CHECK_TIME) as waiting:
+        await wait_for_disconnect(receive)
+    return not waiting.cancelled_caught
+
+
 async def _send_invalid(detail: str, send: Send) -> None:
     await _send_json(send, STATUS_INVALID, encode_error(detail))
 
@@ -306,6 +330,11 @@
     return encode_problem(Problem(ProblemKind.INVALID_CONFIGURATION, detail)).body
 
 
-async def _send_json(send: Send, status: int, body: bytes) -> None:
+async def _send_json(
+    send: Send,
+    status: int,
+    body: bytes,
+    headers: Sequence[tuple[bytes, bytes]] = (),
+) -> None:
     length = (b"content-length", str(len(body)).encode())
-    await send_response(send, status, [*JSON_HEADERS, length], body)
+    await send_response(send, status, [*JSON_HEADERS, length, *headers], body)
--- a/gentianworks/tests/test_commandline.py
+++ b/gentianworks/tests/test_commandline.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import json
 import stat
 from pathlib import Path
+from typing import Any
 
+import httpcore
+import pytest
 from typer.testing import CliRunner
 
 from gentianworks.cli import app
@@ -66,3 +70,34 @@
         code, output = run("status", *options)
         assert code == 2
         assert "chmod 600" in output
+
+
+class TestEvacuate:
+    def test_orders_go_to_the_next_host_if_one_can_not_commit(
+        self, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        token = tmp_path / "token"
+        token.write_text("secret")
+        token.chmod(0o600)
+        sent = []
+
+        def request(method: str, url: str, **options: Any) -> httpcore.Response:
+            order = json.loads(options["content"])
+            sent.append((method, url, order["zone"], order["is_evacuated"]))
+            report = {**order, "revision": 7}
+            status = 503 if len(sent) == 1 else 200
+            response = httpcore.Response(status, content=json.dumps(report).encode())
+            response.read()
+            return response
+
+        monkeypatch.setattr(httpcore, "request", request)
+        options = ("--control", "c1:1,c2:1", "--token-file", str(token))
+        code, output = run("evacuate", "a b", *options)
+        assert (code, "revision 7" in output) == (0, True)
+        code, output = run("evacuate", "a b", "--withdraw", "--json", *options)
+        assert json.loads(output)["is_evacuated"] is False
+        assert sent == [
+            ("POST", "http://c1:1/evacuations", "a b", True),
+            ("POST", "http://c2:1/evacuations", "a b", True),
+            ("POST", "http://c1:1/evacuations", "a b", False),
+        ]
--- a/gentianworks/tests/test_platform_applications.py
+++ b/gentianworks/tests/test_platform_applications.py
@@ -3,17 +3,21 @@
 from __future__ import annotations
 
 import json
+import socket
 from collections.abc import MutableMapping
 from typing import Any, cast
 
 import anyio
+import httpcore
 import pytest
 from anyio.abc import TaskGroup
 from attrs import define, field
 
 from gentianworks.core.effects.gateway import CallReplica
 from gentianworks.core.effects.operators import AnswerOperator
+from gentianworks.core.evacuations.registry import MAX_ZONE_CHARACTERS
 from gentianworks.core.events.base import Event
+from gentianworks.core.events.evacuations import EvacuationRequested
 from gentianworks.core.events.gateway import (
     CallExpired,
     ReplicaAnswerEnded,
@@ -22,19 +26,22 @@
     ReplicaAnswerStarted,
     RouteReplacementRequested,
 )
-from gentianworks.core.operators.reports import RoutesReport
-from gentianworks.core.types import Configuration
+from gentianworks.core.operators.reports import EvacuationReport, RoutesReport
+from gentianworks.core.types import Configuration, Problem, ProblemKind
 from gentianworks.platform import applications
 from gentianworks.platform.applications import (
+    MAX_ORDER_BYTES,
     ClientApplication,
     ConfigurationApplication,
     ReadinessApplication,
 )
+from gentianworks.platform.listener import open_listener
 from gentianworks.platform.replicas import ReplicaClient
 from gentianworks.process import Process
 from gentianworks.telemetry.metrics import Metrics
 from gentianworks.tests.fixtures import build_state
 from gentianworks.tests.gateways import EVENT_STREAM_HEAD, KEY, build_gateway
+from gentianworks.web.server import create_server
 
 SCOPE: dict[str, Any] = {
     "type": "http",
@@ -72,11 +79,13 @@
     disconnected: anyio.Event = field(factory=anyio.Event)
     has_sent_body: bool = False
     body: bytes = b"{}"
+    is_stalled: bool = False  # whether the rest of the body never comes
 
     async def receive(self) -> MutableMapping[str, Any]:
         if not self.has_sent_body:
             self.has_sent_body = True
-            return {"type": "http.request", "body": self.body, "more_body": False}
+            more = self.is_stalled
+            return {"type": "http.request", "body": self.body, "more_body": more}
         await self.disconnected.wait()
         return {"type": "http.disconnect"}
 
@@ -223,3 +232,110 @@
             assert (await self.put(process, "Cumann Staire ", 9))[0] == 200
             assert (await self.put(process, "Cumann Staire ", 10))[0] == 400
         assert process.accepted == [9]
+
+
+@define
+class OrderedProcess(Process):
+    """Process that acknowledges each order, or refuses all of them."""
+
+    orders: list[tuple[str, bool]] = field(factory=list)
+    problem: Problem | None = None
+
+    def handle(self, event: Event) -> None:
+        assert isinstance(event, EvacuationRequested)
+        self.orders.append((event.zone, event.is_evacuated))
+        report = EvacuationReport(event.zone, event.is_evacuated, len(self.orders))
+        answer = AnswerOperator(event.exchange, report)
+        if self.problem is not None:
+            answer = AnswerOperator(event.exchange, None, self.problem)
+        self.outboxes[event.exchange].put(answer)
+
+
+@pytest.mark.anyio
+class TestEvacuations:
+    async def send(
+        self,
+        process: Process,
+        zone: str,
+        method: str = "POST",
+        client: Client | None = None,
+    ) -> tuple[int, bytes]:
+        """Send an order and return the status and the body."""
+        client = client or Client(body=b"")
+        scope = {**SCOPE, "method": method, "path": f"/evacuate/{zone}"}
+        send = cast(Any, client.send)
+        await ConfigurationApplication(process)(scope, client.receive, send)
+        head, body = client.received
+        return head["status"], body["body"]
+
+    async def test_orders_with_and_without_a_body_are_acknowledged(self) -> None:
+        async with anyio.create_task_group() as tasks:
+            process = OrderedProcess(build_state(), tasks)
+            assert await self.send(process, "a") == (200, b'{"revision":1}')
+            for size in (1, MAX_ORDER_BYTES + 1):
+                client = Client(body=bytes(size))
+                assert (await self.send(process, "a/ü", "DELETE", client))[0] == 200
+        assert process.orders == [("a", True), ("a/ü", False), ("a/ü", False)]
+
+    async def test_only_names_that_no_zone_has_are_invalid(self) -> None:
+        async with anyio.create_task_group() as tasks:
+            process = OrderedProcess(build_state(), tasks)
+            for zone in ("", "a\n", "\x00", "z" * (MAX_ZONE_CHARACTERS + 1)):
+                assert (await self.send(process, zone))[0] == 400
+            for zone in (" ", "..", "z" * MAX_ZONE_CHARACTERS):
+                assert (await self.send(process, zone))[0] == 200
+            assert (await self.send(process, "a", "PUT"))[0] == 405
+        assert len(process.orders) == 3
+
+    async def test_an_order_that_is_not_committed_gets_a_503(self) -> None:
+        async with anyio.create_task_group() as tasks:
+            process = OrderedProcess(build_state(), tasks)
+            process.problem = Problem(ProblemKind.OUTCOME_UNKNOWN, "no quorum")
+            status, body = await self.send(process, "a")
+        assert status == 503
+        assert b"no quorum" in body
+
+    async def test_an_order_of_an_operator_that_has_gone_on_does_not_run(self) -> None:
+        """A process that was frozen reads the order after its connection was closed."""
+        async with anyio.create_task_group() as tasks:
+            process = OrderedProcess(build_state(), tasks)
+            listener = open_listener("127.0.0.1:0")
+            assert listener is not None
+            address = listener.getsockname()
+            with socket.create_connection(address) as connection:
+                connection.sendall(b"POST /evacuate/a HTTP/1.1\r\nhost: a\r\n\r\n")
+            server = create_server(
+                ConfigurationApplication(process), "{}:{}".format(*address)
+            )
+            tasks.start_soon(server.serve, [listener])
+            await anyio.sleep(0.2)
+            server.stop()
+        assert process.orders == []
+
+    async def test_a_body_that_does_not_arrive_holds_no_order_open(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(applications, "ORDER_BODY_TIMEOUT", 0.02)
+        async with anyio.create_task_group() as tasks:
+            process = OrderedProcess(build_state(), tasks)
+            client = Client(body=b"", is_stalled=True)
+            with anyio.fail_after(1.0):
+                assert (await self.send(process, "a", client=client))[0] == 408
+        assert process.orders == []
+
+    async def test_names_are_percent_decoded_by_the_server(self) -> None:
+        async with anyio.create_task_group() as tasks:
+            process = OrderedProcess(build_state(), tasks)
+            listener = open_listener("127.0.0.1:0")
+            assert listener is not None
+            address = "{}:{}".format(*listener.getsockname())
+            server = create_server(ConfigurationApplication(process), address)
+            tasks.start_soon(server.serve, [listener])
+            async with httpcore.AsyncConnectionPool() as pool:
+                for path in ("a%2Fb%20%C3%BC", "%0A", ""):
+                    url = f"http://{address}/evacuate/{path}"
+                    response = await pool.request("POST", url)
+                    assert response.status == (200 if "a" in path else 400)
+                assert (await pool.request("GET", url)).status == 405
+            server.stop()
+        assert process.orders == [("a/b ü", True)]
