--- a/properties/evacuating_fleet.py
+++ b/properties/evacuating_fleet.py
@@ -78,7 +78,8 @@
         """Send an order to a host and return its exchange."""
         exchange = f"order-{next(self._ids)}"
         event = EvacuationRequested(exchange, "olwen", zone, is_evacuated)
-        if self.hosts[number].is_up:
+        # A frozen process finds the connection closed once it resumes.
+        if self.hosts[number].is_up and not self.hosts[number].is_frozen:
             self._deliver(number, 0, event)
         return exchange
 
