--- a/gentianworks/tests/test_operators.py
+++ b/gentianworks/tests/test_operators.py
@@ -203,3 +203,32 @@
         text = fleet.run_command("release", "c0ffee", *options)
         assert "was not in quarantine" in text
         assert "olwen released" in fleet.run_command("audit", *options)
+
+    def test_an_evacuation_reaches_routers_that_run_and_that_start(
+        self, fleet: Fleet
+    ) -> None:
+        options = ("--control", fleet.controls[1].http_address)
+        zone = PLAN[1].availability_zone
+
+        def book(key: str) -> int:
+            answer = httpcore.request(
+                "POST",
+                f"http://{fleet.routers[0].http_address}/services/booking/pens",
+                headers=[(b"gw-workspace", b"parish"), (b"gw-rank", b"submissions")],
+                content=key.encode(),
+            )
+            return answer.status
+
+        assert book("ewe") == 200
+        assert "gets no new calls" in fleet.run_command("evacuate", zone, *options)
+        wait_until(lambda: book("ram") == 503)
+        fleet.routers[0].kill()
+        fleet.restart(fleet.routers[0].name)
+        wait_for_status(fleet.routers[0].http_address, "/readyz")
+        assert book("ram") == 503
+        text = fleet.run_command("evacuate", zone, "--withdraw", *options)
+        assert "is open" in text
+        wait_until(lambda: book("ewe") == 200)
+        audit = fleet.run_command("audit", *options)
+        assert "olwen evacuated" in audit
+        assert f"zone {zone}: open" in audit
