Eject replicas that fail calls by the outcomes of all routers

Cause: a router sends a replica a call every 5 s, so none learns of its failures in time. Routers now report failures to the leader, which tells all of them which replicas to avoid; calls that run at most once return last.

--- a/gentianworks/core/gateway/attempts.py
+++ b/gentianworks/core/gateway/attempts.py
@@ -26,6 +26,7 @@
 from gentianworks.core.gateway.log_details import describe_call
 from gentianworks.core.gateway.route_table import RetryPolicy
 from gentianworks.core.gateway.state import GatewayExchange, GatewayState
+from gentianworks.core.outliers.routers import record_outcome
 from gentianworks.core.reducer import reduce
 from gentianworks.core.request_limits.notices import record_limit
 from gentianworks.core.routing.retry import combine_run_states
@@ -51,7 +52,18 @@
     _record_health(exchange, answer, gateway, now)
     _record_load(exchange, answer, gateway, now)
     limits = record_limit(exchange.replica, answer, state, now)
-    return [*limits, *_handle_answer_start(exchange, answer, state, now)]
+    reports = _report_outcome(exchange, answer, state, now)
+    return [*limits, *reports, *_handle_answer_start(exchange, answer, state, now)]
+
+
+def _report_outcome(
+    exchange: GatewayExchange, answer: ReplicaAnswerHead, state: State, now: float
+) -> list[Effect]:
+    """Report the outcome of an answer, unless it refuses the call or has a defect."""
+    if exchange.replica is None or answer.is_not_run or answer.defect:
+        return []
+    is_failure = answer.status >= MIN_FAILURE_STATUS
+    return record_outcome(exchange.replica, is_failure, state, now)
 
 
 def _handle_answer_start(
@@ -92,6 +104,7 @@
     assert gateway is not None
     assert exchange.replica is not None
     gateway.backoff.record_failure(exchange.replica.name, now)
+    reports = record_outcome(exchange.replica, True, state, now)
     details = (
         ("request", exchange.call.request_id),
         ("replica", exchange.replica.name),
@@ -100,6 +113,7 @@
     )
     return [
         LogEvent("GW5117", details),
+        *reports,
         *handle_failed_attempt(exchange, RunState.UNKNOWN, defect, state, now),
     ]
 
@@ -180,12 +194,14 @@
     ):
         return []
     gateway.backoff.record_failure(name, now)
+    reports = record_outcome(exchange.replica, True, state, now)
     if not _may_repeat(exchange, gateway):
-        return [LogEvent("GW5110", describe_call(exchange, gateway, now))]
+        return [LogEvent("GW5110", describe_call(exchange, gateway, now)), *reports]
     detail = f"the replica did not answer within {now - exchange.sent_at:.2f} s"
     drop = CancelReplicaCall(exchange.attempt)
     return [
         drop,
+        *reports,
         *handle_failed_attempt(exchange, RunState.UNKNOWN, detail, state, now),
     ]
 
@@ -297,6 +313,7 @@
                 now,
             )
             exchange.was_lost = True
+            lost += record_outcome(exchange.replica, True, state, now)
     failed = handle_failed_attempt(
         exchange, run_state, event.detail, state, now, is_unsent
     )
--- a/gentianworks/core/gateway/dispatch.py
+++ b/gentianworks/core/gateway/dispatch.py
@@ -193,7 +193,12 @@
     if limitation is not None:
         return fail_call(exchange, limitation, gateway, now)
     replica = choose_replica(
-        exchange.service, exchange.call, exchange.tried_replicas, gateway, now
+        exchange.service,
+        exchange.call,
+        exchange.tried_replicas,
+        gateway,
+        now,
+        has_further_attempt(exchange),
     )
     if replica is None:
         problem = _describe_no_replica(exchange, gateway)
@@ -205,6 +210,14 @@
     return send_attempt(exchange, replica, gateway, state, now)
 
 
+def has_further_attempt(exchange: GatewayExchange) -> bool:
+    """Return whether a call may be sent again after its next attempt."""
+    route = exchange.route
+    if route.retry_policy is RetryPolicy.AT_MOST_ONCE:
+        return False
+    return exchange.attempt_count + 1 < route.max_attempts
+
+
 def send_attempt(
     exchange: GatewayExchange,
     replica: Replica,
--- a/gentianworks/core/gateway/state.py
+++ b/gentianworks/core/gateway/state.py
@@ -10,6 +10,7 @@
 from gentianworks.core.gateway.replicas import Replica, ReplicaName, ReplicaRegistry
 from gentianworks.core.gateway.route_table import RetryPolicy, Route, RouteTable
 from gentianworks.core.gateway.startup_queue import QueuedCall
+from gentianworks.core.outliers.known import KnownOutliers
 from gentianworks.core.placement.health import HealthTable
 from gentianworks.core.replica_list.fetches import ListFetches
 from gentianworks.core.request_limits.rank_demand import RankDemand
@@ -90,6 +91,7 @@
     router_count: int = DEFAULT_ROUTER_COUNT
     crashes: CrashTracker = field(factory=CrashTracker)
     limits: ReplicaLimits = field(factory=ReplicaLimits)
+    outliers: KnownOutliers = field(factory=KnownOutliers)
     # By service, while some of its replicas limit their requests.
     rank_demands: dict[ServiceName, RankDemand] = field(factory=dict)
 
--- a/gentianworks/core/handlers.py
+++ b/gentianworks/core/handlers.py
@@ -33,6 +33,8 @@
 from gentianworks.core.operators import read_requests as operators_read_requests
 from gentianworks.core.orders import agent_orders as orders_agent_orders
 from gentianworks.core.orders import control_orders as orders_control_orders
+from gentianworks.core.outliers import control as outliers_control
+from gentianworks.core.outliers import routers as outliers_routers
 from gentianworks.core.quarantine import (
     control_quarantine as quarantine_control_quarantine,
 )
@@ -80,6 +82,8 @@
     "operators_read_requests",
     "orders_agent_orders",
     "orders_control_orders",
+    "outliers_control",
+    "outliers_routers",
     "quarantine_control_quarantine",
     "quarantine_control_trials",
     "quarantine_enforcement",
--- a/gentianworks/core/placement/choice.py
+++ b/gentianworks/core/placement/choice.py
@@ -28,8 +28,12 @@
     tried: Collection[ReplicaName],
     gateway: GatewayState,
     now: float,
+    is_repeatable: bool = True,
 ) -> Replica | None:
-    """Return the replica for the next attempt at a call, or None."""
+    """Return the replica for the next attempt at a call, or None.
+
+    `is_repeatable` tells whether the call can be sent elsewhere if the attempt fails.
+    """
     usable = gateway.registry.list_usable(service)
     untried = [
         item
@@ -40,7 +44,7 @@
     reachable = [
         item for item in untried if not gateway.backoff.is_unavailable(item.name, now)
     ]
-    candidates = reachable or untried
+    candidates = gateway.outliers.prefer_sound(reachable or untried, is_repeatable, now)
     if not candidates:
         return None
     due = _find_renewal(candidates, gateway, now)
--- a/gentianworks/core/replica_list/discovery.py
+++ b/gentianworks/core/replica_list/discovery.py
@@ -147,6 +147,7 @@
     gateway.registry.update(replicas, version, current_at, now)
     gateway.health.retain_replicas(set(listed))
     gateway.limits.retain_listed(listed)
+    gateway.outliers.recent.retain_replicas(set(listed))
     logs: list[Effect] = [
         LogEvent(
             "GW5102",
--- a/gentianworks/core/replica_list/distribution.py
+++ b/gentianworks/core/replica_list/distribution.py
@@ -35,6 +35,7 @@
         return []
     shared.begin_term(replication.vote.term, now)
     state.limit_table.begin_term(replication.vote.term, now)
+    state.outlier_table.clear()
     return [SetTimer(now, ReplicaListDue())]
 
 
--- a/gentianworks/core/state.py
+++ b/gentianworks/core/state.py
@@ -12,6 +12,7 @@
 from gentianworks.core.membership.fleet import Fleet
 from gentianworks.core.membership.roster import Roster
 from gentianworks.core.operators.state import OperatorsState
+from gentianworks.core.outliers.table import OutlierTable
 from gentianworks.core.quarantine.crashes import PendingCrash
 from gentianworks.core.quarantine.suspects import ReceivedSuspects
 from gentianworks.core.replica_list.shared_list import SharedList
@@ -45,7 +46,7 @@
     acknowledgement.
     `evacuations` are the zones that a router was told to avoid.
     `shared_list` is set on control hosts that fetch the list of replicas for gateways,
-    `limit_table` is used there.
+    `limit_table` and `outlier_table` are used there.
     """
 
     node: Node
@@ -74,6 +75,7 @@
     gateway: GatewayState | None = None
     shared_list: SharedList | None = None
     limit_table: LimitTable = field(factory=LimitTable)
+    outlier_table: OutlierTable = field(factory=OutlierTable)
     agent: AgentState | None = None
     control: ControlState = field(factory=ControlState)
     distribution: DistributionState = field(factory=DistributionState)
--- a/gentianworks/platform/runner.py
+++ b/gentianworks/platform/runner.py
@@ -20,6 +20,7 @@
 from gentianworks.core.events.gateway import RoutesDecoded
 from gentianworks.core.events.lifecycle import ProcessStarted, ShutdownRequested
 from gentianworks.core.gateway.state import GatewayState
+from gentianworks.core.outliers.known import KnownOutliers
 from gentianworks.core.replica_list.fetches import ListFetches
 from gentianworks.core.replica_list.shared_list import SharedList
 from gentianworks.core.replication.timing import Timing
@@ -182,6 +183,7 @@
         list_fetches=_build_fetches(settings),
         retry_ratio=settings.retry_ratio,
         retry_slack=settings.retry_slack,
+        outliers=KnownOutliers(is_enabled=settings.shares_outcomes),
     )
 
 
--- a/gentianworks/telemetry/log.py
+++ b/gentianworks/telemetry/log.py
@@ -238,6 +238,12 @@
             "A reopened availability zone gets calls without a newer list.",
             "Check that a control host leads and reaches the platform.",
         ),
+        CatalogueEntry(
+            "GW5140",
+            "A replica fails more calls than others; routers avoid it for a while.",
+            "Check the replica's log; its health check may still pass.",
+        ),
+        CatalogueEntry("GW5141", "This router avoids replicas that fail calls."),
         CatalogueEntry("GW5113", "A leader's list of replicas has taken effect."),
         CatalogueEntry(
             "GW5114",
--- a/gentianworks/telemetry/metrics.py
+++ b/gentianworks/telemetry/metrics.py
@@ -132,6 +132,11 @@
             "replica_limits",
             "Replicas that limit their requests, and those of which a share is held.",
         )
+        self.avoided_replicas = self._add(
+            Gauge,
+            "avoided_replicas",
+            "Replicas that get few calls because they fail more than others.",
+        )
         self.evacuated_zones = self._add(
             Gauge,
             "evacuated_zones",
@@ -169,7 +174,7 @@
             exchanges += len(state.gateway.exchanges)
         self.load.set({"kind": "exchanges"}, exchanges)
         self._set_list_metrics(state, now)
-        self._set_limit_metrics(state)
+        self._set_limit_metrics(state, now)
         self._set_evacuation_metrics(state)
         if state.node.role is Role.CONTROL:
             self._set_ledger_metrics(state.control.replicated.ledger)
@@ -203,8 +208,10 @@
         self.list_fetches.set({"outcome": "failure"}, fetches.failure_total)
         self.fetches_list.set({}, int(is_fetching))
 
-    def _set_limit_metrics(self, state: State) -> None:
+    def _set_limit_metrics(self, state: State, now: float) -> None:
         if state.gateway is not None:
+            avoided = state.gateway.outliers.avoided_until.values()
+            self.avoided_replicas.set({}, sum(until > now for until in avoided))
             limits = state.gateway.limits
             limited = limits.list_limited()
             shared = sum(limits.get_rate(name) > 0 for name in limited)
--- /dev/null
+++ b/gentianworks/tests/test_outliers.py
@@ -0,0 +1,173 @@
+"""Tests of the replicas that fail more calls than others."""
+
+from __future__ import annotations
+
+import random
+
+from attrs import evolve
+
+from gentianworks.core.effects.gateway import CallReplica
+from gentianworks.core.effects.lifecycle import SendMessage
+from gentianworks.core.events.gateway import ReplicaListFetched
+from gentianworks.core.events.outliers import OutliersChanged, ReplicaFailuresReported
+from gentianworks.core.handlers import reduce
+from gentianworks.core.outliers.known import PROBATION
+from gentianworks.core.outliers.outcomes import FailureReport, Outcome, RecentOutcomes
+from gentianworks.core.outliers.table import (
+    FIRST_EJECTION,
+    MAX_EJECTED_SHARE,
+    OutlierTable,
+)
+from gentianworks.core.state import State
+from gentianworks.tests.gateways import (
+    NOW,
+    PAYMENT,
+    TABLE,
+    answer_call,
+    build_gateway,
+    build_replicas,
+    get_effect,
+    get_gateway,
+    send_call,
+)
+
+ROUTERS = 28
+REPLICAS = 24
+ANSWERS_PER_SECOND = 130.0  # of a service, at all routers together
+
+
+class Fleet:
+    """Routers that share a leader's table; each gets calls of one service."""
+
+    def __init__(self, seed: int) -> None:
+        self.random = random.Random(seed)
+        self.table = OutlierTable()
+        self.routers = [RecentOutcomes() for _ in range(ROUTERS)]
+        self.now = 0.0
+
+    def run(self, failure_rates: dict[str, float], seconds: float) -> float | None:
+        """Return after how many seconds a replica is ejected, or None."""
+        began_at = self.now
+        while self.now < began_at + seconds:
+            self.now += self.random.expovariate(ANSWERS_PER_SECOND)
+            replica = f"i-{self.random.randrange(REPLICAS)}"
+            is_failure = self.random.random() < failure_rates.get(replica, 0.0)
+            number = self.random.randrange(ROUTERS)
+            recent = self.routers[number]
+            recent.record("llm", Outcome(replica, is_failure, self.now))
+            report = recent.take_report(replica, "llm", REPLICAS, self.now)
+            if report is not None and self.table.record(
+                f"router-{number}", report, ROUTERS, REPLICAS, self.now
+            ):
+                return self.now - began_at
+        return None
+
+
+class TestFleetOfManyRouters:
+    """A call every five seconds from a router shows no failures to that router."""
+
+    def test_a_replica_that_fails_half_of_its_calls_is_ejected_within_seconds(
+        self,
+    ) -> None:
+        times = [Fleet(seed).run({"i-3": 0.5}, 10.0) for seed in range(20)]
+        found = [time for time in times if time is not None]
+        assert len(found) == len(times)
+        assert sum(found) / len(found) < 1.5
+
+    def test_replicas_that_spoil_a_few_answers_stay_in_use(self) -> None:
+        rates = {f"i-{n}": 0.03 for n in range(REPLICAS // 2)}
+        ejected = [Fleet(seed).run(rates, 10.0) for seed in range(20)]
+        assert ejected.count(None) >= 18
+
+    def test_no_more_than_a_third_of_a_service_is_ejected(self) -> None:
+        fleet = Fleet(1)
+        rates = {f"i-{n}": 1.0 for n in range(REPLICAS)}
+        for _ in range(REPLICAS):
+            fleet.run(rates, 1.0)
+            ejected = len(fleet.table.list_ejected(fleet.now))
+            assert ejected <= MAX_EJECTED_SHARE * REPLICAS
+
+
+class TestReports:
+    def test_one_router_alone_ejects_nothing(self) -> None:
+        table = OutlierTable()
+        report = FailureReport("i-1", "llm", 5, 5, 1.0)
+        assert table.record("a", report, ROUTERS, REPLICAS, 1.0) is None
+        assert table.record("a", report, ROUTERS, REPLICAS, 1.1) is None
+        assert table.record("b", report, ROUTERS, REPLICAS, 1.2) is not None
+
+    def test_failures_of_long_ago_do_not_count(self) -> None:
+        table = OutlierTable()
+        report = FailureReport("i-1", "llm", 1, 1, 0.1)
+        table.record("a", report, ROUTERS, REPLICAS, 1.0)
+        assert table.record("b", report, ROUTERS, REPLICAS, 9.0) is None
+
+    def test_each_further_ejection_lasts_longer(self) -> None:
+        table = OutlierTable()
+        report = FailureReport("i-1", "llm", 5, 5, 0.1)
+        ends = []
+        for now in (0.0, 5.0):
+            table.record("a", report, ROUTERS, REPLICAS, now)
+            ejection = table.record("b", report, ROUTERS, REPLICAS, now)
+            assert ejection is not None
+            ends.append(ejection.until - now)
+        assert ends == [FIRST_EJECTION, 2 * FIRST_EJECTION]
+
+    def test_a_router_reports_failed_answers_to_the_leader(self) -> None:
+        state = build_enabled_gateway()
+        state.fleet.leader_address = "tcp://leader"
+        sent = get_effect(CallReplica, send_call(state))
+        effects = answer_call(sent, state, status=500, is_event_stream=False)
+        messages = [item for item in effects if isinstance(item, SendMessage)]
+        reports = [item.message for item in messages]
+        assert any(isinstance(item, ReplicaFailuresReported) for item in reports)
+
+    def test_nothing_is_reported_where_the_settings_do_not_ask_for_it(self) -> None:
+        state = build_gateway()
+        state.fleet.leader_address = "tcp://leader"
+        sent = get_effect(CallReplica, send_call(state))
+        effects = answer_call(sent, state, status=500, is_event_stream=False)
+        assert not [item for item in effects if isinstance(item, SendMessage)]
+
+
+class TestRouters:
+    def test_calls_avoid_an_outlier_until_its_time_has_passed(self) -> None:
+        state = build_enabled_gateway()
+        home = send_to(state, "first", NOW)
+        reduce(OutliersChanged("c", {home: 2.0}), state, NOW)
+        assert send_to(state, "second", NOW + 1) != home
+        assert send_to(state, "third", NOW + 2.1) == home
+
+    def test_calls_that_run_once_wait_until_others_have_shown_it_to_be_sound(
+        self,
+    ) -> None:
+        state = build_enabled_gateway()
+        gateway = get_gateway(state)
+        gateway.table = evolve(
+            TABLE, routes=(evolve(PAYMENT, shares=TABLE.routes[0].shares),)
+        )
+        home = send_to(state, "first", NOW, path="/pay/1")
+        reduce(OutliersChanged("c", {home: 2.0}), state, NOW)
+        assert send_to(state, "second", NOW + 2.1, path="/pay/1") != home
+        later = NOW + 2.1 + PROBATION
+        assert send_to(state, "third", later, path="/pay/1") == home
+
+    def test_outliers_are_used_if_no_other_replica_is_left(self) -> None:
+        state = build_enabled_gateway()
+        everything = {item.name: 2.0 for item in build_replicas("engines", 3, 64)}
+        reduce(OutliersChanged("c", everything), state, NOW)
+        assert send_to(state, "first", NOW)
+
+
+def build_enabled_gateway() -> State:
+    """Return a router whose settings ask it to share outcomes."""
+    state = build_gateway()
+    get_gateway(state).outliers.is_enabled = True
+    reduce(ReplicaListFetched(build_replicas("engines", 3, 64)), state, NOW)
+    return state
+
+
+def send_to(state: State, exchange: str, now: float, path: str = "/chat/1") -> str:
+    """Send a call and return the name of its replica."""
+    sent = get_effect(CallReplica, send_call(state, now, exchange, path=path))
+    return sent.replica.name
