--- a/gentianworks/core/outliers/table.py
+++ b/gentianworks/core/outliers/table.py
@@ -20,6 +20,9 @@
 # Of a service's replicas; if more fail, the calls may be at fault, and too few would be
 # left for the others' calls.
 MAX_EJECTED_SHARE = 0.34
+# Times the mean failures of the other replicas; if most fail, none is an outlier, and
+# to avoid some would only move calls from where their prompts are cached.
+OUTLIER_MULTIPLE = 3.0
 MAX_REPORTS = 256  # of a replica within the window
 
 
@@ -72,14 +75,16 @@
             return None
         recent = self.reports.setdefault(report.replica, deque(maxlen=MAX_REPORTS))
         recent.append(ReceivedReport(router, report, now))
-        if not self._is_outlier(recent, routers):
+        if not self._fails_often(recent, routers):
+            return None
+        if not self._fails_more_than_others(report, recent, replicas):
             return None
         if not self._has_room(report.service, replicas, now):
             return None
         del self.reports[report.replica]
         return self._eject(report, now)
 
-    def _is_outlier(self, recent: deque[ReceivedReport], routers: int) -> bool:
+    def _fails_often(self, recent: deque[ReceivedReport], routers: int) -> bool:
         """Return whether the fleet's failures exceed what is usual by far.
 
         Routers without failures report nothing, so their answers are estimated from
@@ -94,6 +99,19 @@
         answers = max(counted, mean * max(1, routers))
         return failures >= MIN_FAILURE_RATE * answers
 
+    def _fails_more_than_others(
+        self, report: FailureReport, recent: deque[ReceivedReport], replicas: int
+    ) -> bool:
+        total = sum(
+            item.report.failures
+            for received in self.reports.values()
+            for item in received
+            if item.report.service == report.service
+        )
+        failures = sum(item.report.failures for item in recent)
+        others = (total - failures) / max(1, replicas - 1)
+        return failures >= MIN_FAILURES + OUTLIER_MULTIPLE * others
+
     def _has_room(self, service: ServiceName, replicas: int, now: float) -> bool:
         ejected = sum(
             item.service == service and now < item.until
