Let a prompt's home fetch the parts that other replicas have

The home now names the next replica in the subject's order as source; a fetch copies what is missing and nothing else. Only where the settings name the pressure contract.

--- a/gentianworks/core/placement/prompt_sources.py
+++ b/gentianworks/core/placement/prompt_sources.py
@@ -3,6 +3,10 @@
 When a replica joins, leaves or spills calls, they move to one that lacks their shared
 prompt. Fetching the prompt's cache from the replica that has it takes a fraction of
 the time to process the prompt again.
+
+A prompt's home fetches too, where the settings ask for it: it lacks the prompt of a
+subject that is new or was evicted, but the parts that many subjects share are at any
+other replica.
 """
 
 from __future__ import annotations
@@ -27,7 +31,9 @@
         item for item in reachable if not gateway.registry.is_warming_up(item.name, now)
     ]
     order = order_by_score(call.affinity_key, warm)
-    source = next(iter(order), None)
-    if source is None or source.name == replica.name:
+    if order and order[0].name == replica.name and not gateway.fetches_prefixes:
+        return None
+    source = next((item for item in order if item.name != replica.name), None)
+    if source is None:
         return None
     return None if gateway.backoff.is_unavailable(source.name, now) else source
--- a/gentianworks/platform/runner.py
+++ b/gentianworks/platform/runner.py
@@ -183,7 +183,8 @@
         list_fetches=_build_fetches(settings),
         retry_ratio=settings.retry_ratio,
         retry_slack=settings.retry_slack,
-        outliers=KnownOutliers(is_enabled=settings.shares_outcomes),
+        outliers=KnownOutliers(is_enabled=settings.is_contended),
+        fetches_prefixes=settings.is_contended,
     )
 
 
--- a/gentianworks/platform/settings.py
+++ b/gentianworks/platform/settings.py
@@ -12,7 +12,7 @@
 SETTINGS_VARIABLE = "GENTIANWORKS_BOOT"
 # The deploy file declares the same ports to the platform.
 METRICS_PORTS = {"router": 9461, "control": 9462}
-PRESSURE_CONTRACT = "pressure"  # callers compete for little room
+PRESSURE_CONTRACT = "pressure"
 PEER_PORT_OFFSETS = {"router": 0, "control": 1}  # offsets into the internal ports
 
 
@@ -42,7 +42,8 @@
     retry_slack: float
     listing_address: str  # IP:PORT of the list of replicas
     listing_rate: float  # requests per second by the whole fleet
-    shares_outcomes: bool  # routers tell each other of replicas that fail calls
+    # Callers compete for little room, on replicas that share their machines.
+    is_contended: bool
     memory_limit: int  # bytes, over which the process is killed; 0 if there is none
 
     def build_metrics_address(self, role: str) -> str:
@@ -98,7 +99,7 @@
         retry_slack=float(bounds.get("budgetSlack", 0)),
         listing_address=str(cloud.get("address", "")),
         listing_rate=_read_rate(cloud),
-        shares_outcomes=PRESSURE_CONTRACT in document.get("contracts", ()),
+        is_contended=PRESSURE_CONTRACT in document.get("contracts", ()),
         memory_limit=int(document.get("limits", {}).get("memoryMb", 0)) * MEBIBYTE,
     )
 
