Refuse an order that can't be committed before its operator goes on

Seen in a trial with real processes of the platform, one of three control hosts left: the operator's second without a response ended before the host's 503 came, since the host waited for a second and a check interval. It now gives up after 0.8 s.

--- a/gentianworks/core/evacuations/control.py
+++ b/gentianworks/core/evacuations/control.py
@@ -31,9 +31,10 @@
 
 MAX_NOTIFIED_ROUTERS = 64  # by a push; other routers are told after a heartbeat
 RETRY_AFTER = 1.0  # seconds
-# Seconds after which an operator sends the order to another host. A host that proposed
-# it for longer could undo an order that was acknowledged elsewhere in the meantime.
-ORDER_TIMEOUT = 1.0
+# Seconds; an operator sends the order to another host after 1 s, by when this host's
+# refusal has arrived. A host that proposed it for longer could undo an order that was
+# acknowledged elsewhere in the meantime.
+ORDER_TIMEOUT = 0.8
 
 
 @reduce.register
--- a/gentianworks/tests/test_evacuations.py
+++ b/gentianworks/tests/test_evacuations.py
@@ -40,6 +40,7 @@
 from properties.evacuating_fleet import EvacuatingFleet, form_fleet
 
 EVACUATION_TIME = 5.0  # seconds; `evacMs` of the deployments
+RESPONSE_TIME = 1.0  # seconds; then operators go on to the next host
 
 COLD_TABLE = evolve(
     TABLE,
@@ -247,10 +248,11 @@
         fleet.start_router(0)  # a quorum confirms the zones, not the host that lags
         fleet.run(1.0)
         refused = fleet.order(stale, "b", True)
-        follow(fleet, 0, {"a"})
+        fleet.run(RESPONSE_TIME)
         problem = fleet.answers[refused].problem
         assert problem is not None
         assert problem.retry_after
+        follow(fleet, 0, {"a"})
 
     def test_an_order_that_is_late_does_not_undo_a_later_one(self, seed: int) -> None:
         fleet = form_fleet(seed=seed)
