Lend the cold rate of replicas in shares

Cause: a cold replica crashes under more requests than the cold rate of its service, and no router kept to it.

Routers tell the leader the cold rates, since control hosts don't decode route tables. Without a leader each router has one request in a turn of its own.

--- a/gentianworks/core/events/membership.py
+++ b/gentianworks/core/events/membership.py
@@ -4,6 +4,7 @@
 
 from attrs import field, frozen
 
+from gentianworks.core.cold_replicas.registry import ColdRates
 from gentianworks.core.events.base import Event, Message
 from gentianworks.core.gateway.replicas import ListVersion
 from gentianworks.core.request_limits.replica_limits import LentShare, ReportedLimit
@@ -38,7 +39,8 @@
     `asks_sum`, any control host
     responds with the load sum that it knows. `sent_at` is in seconds of the node's
     clock. `limits` are the replicas' request limits that a router has learned, and
-    `limits_version` is its version of the leader's table of them.
+    `limits_version` is its version of the leader's table of them. `cold_rates` are
+    those of the services in its route table.
     """
 
     endpoint: EndpointName
@@ -57,6 +59,7 @@
     asks_sum: bool = False
     limits: tuple[ReportedLimit, ...] = ()
     limits_version: ListVersion = field(factory=ListVersion)
+    cold_rates: ColdRates = field(factory=ColdRates)
 
 
 @frozen
--- a/gentianworks/core/gateway/attempts.py
+++ b/gentianworks/core/gateway/attempts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from gentianworks.core.cold_replicas.routers import record_lost_connection
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.callers import FinishAnswer, RelayPiece, StartAnswer
 from gentianworks.core.effects.gateway import CancelReplicaCall
@@ -288,8 +289,9 @@
     lost: list[Effect] = []
     if exchange.replica is not None:
         gateway.backoff.record_failure(exchange.replica.name, now)
+        lost += record_lost_connection(exchange.replica, event.failure, gateway, now)
         if event.failure is ReplicaFailure.CUT and not exchange.has_received_piece:
-            lost = record_lost_call(
+            lost += record_lost_call(
                 exchange.call,
                 exchange.was_lost,
                 exchange.replica,
--- a/gentianworks/core/gateway/replicas.py
+++ b/gentianworks/core/gateway/replicas.py
@@ -7,7 +7,7 @@
 import xxhash
 from attrs import astuple, define, field, frozen
 
-from gentianworks.core.evacuations.registry import KnownEvacuations
+from gentianworks.core.evacuations.registry import LIST_LAG, KnownEvacuations
 from gentianworks.core.types import ServiceName
 
 ReplicaName = str
@@ -26,6 +26,7 @@
     availability_zone: str
     slots: int
     is_leaving: bool = False
+    is_cold: bool = False  # tolerates few requests for some time
 
 
 def digest_replicas(replicas: Iterable[Replica]) -> int:
@@ -85,6 +86,9 @@
     # Seconds; the last time at which the platform is known to have had this list.
     current_at: float = float("-inf")
     evacuations: KnownEvacuations = field(factory=KnownEvacuations)
+    # Times in seconds at which this router lost its connections to replicas that are
+    # cold after a start; a list that is older does not tell whether they started again.
+    lost_at: dict[ReplicaName, float] = field(factory=dict)
 
     def update(
         self,
@@ -137,8 +141,16 @@
             and not item.is_leaving
             and item.name not in self.misaddressed
             and not self.is_evacuated(item)
+            and not (self.lost_at and self._may_have_restarted(item))
         ]
 
+    def _may_have_restarted(self, replica: Replica) -> bool:
+        """Return whether a replica may be cold without the list saying so."""
+        lost_at = self.lost_at.get(replica.name)
+        if lost_at is None or replica.is_cold:
+            return False
+        return self.current_at < lost_at + LIST_LAG
+
     def is_evacuated(self, replica: Replica) -> bool:
         """Return whether calls avoid the zone of a replica."""
         zone = replica.availability_zone
@@ -151,6 +163,16 @@
             for item in self.replicas.values()
         )
 
+    def count_cold(self, service: ServiceName) -> int:
+        """Return the number of cold replicas whose zone is not evacuated."""
+        return sum(
+            item.service == service
+            and item.is_cold
+            and not item.is_leaving
+            and not self.is_evacuated(item)
+            for item in self.replicas.values()
+        )
+
     def list_reachable(self, service: ServiceName) -> list[Replica]:
         """Return the replicas of a service, including those that are leaving."""
         return [
--- a/gentianworks/core/gateway/route_table.py
+++ b/gentianworks/core/gateway/route_table.py
@@ -117,6 +117,11 @@
         """Return the service called `name`, or None."""
         return self._service_of_name.get(name)
 
+    @cached_property
+    def cold_rates(self) -> dict[ServiceName, float]:
+        """The cold rates, in requests a second, of the services that have one."""
+        return {item.name: item.cold_rate for item in self.services if item.cold_rate}
+
     @cached_property
     def _routes_of_host(self) -> dict[str, list[Route]]:
         routes_of_host: dict[str, list[Route]] = {}
--- a/gentianworks/core/gateway/route_updates.py
+++ b/gentianworks/core/gateway/route_updates.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from gentianworks.core.cold_replicas.routers import update_cold_replicas
 from gentianworks.core.commands.base import (
     Command,
     apply_command,
@@ -103,4 +104,5 @@
     if event.table is None:
         return [LogEvent("GW5106", (("revision", str(event.revision)),))]
     gateway.table = event.table
-    return dispatch_queued_calls(state, now)
+    cold = update_cold_replicas(gateway, now)
+    return [*cold, *dispatch_queued_calls(state, now)]
--- a/gentianworks/core/handlers.py
+++ b/gentianworks/core/handlers.py
@@ -11,6 +11,7 @@
 from gentianworks.core.agents import scheduler as agents_scheduler
 from gentianworks.core.cache import moves as cache_moves
 from gentianworks.core.cache import offers as cache_offers
+from gentianworks.core.cold_replicas import routers as cold_replicas_routers
 from gentianworks.core.configuration import (
     change_requests as configuration_change_requests,
 )
@@ -58,6 +59,7 @@
     "agents_scheduler",
     "cache_moves",
     "cache_offers",
+    "cold_replicas_routers",
     "configuration_change_requests",
     "configuration_distribution",
     "evacuations_control",
--- a/gentianworks/core/membership/heartbeats.py
+++ b/gentianworks/core/membership/heartbeats.py
@@ -47,6 +47,7 @@
 from gentianworks.core.request_limits.updates import (
     answer_limit_reports,
     confirm_limits,
+    describe_cold_rates,
 )
 from gentianworks.core.routing.answers import handle_endpoint_loss
 from gentianworks.core.state import State
@@ -150,6 +151,7 @@
         limits_version=(
             state.gateway.limits.version if state.gateway else ListVersion()
         ),
+        cold_rates=describe_cold_rates(state),
     )
 
 
--- a/gentianworks/core/placement/choice.py
+++ b/gentianworks/core/placement/choice.py
@@ -37,6 +37,7 @@
         if item.name not in tried
         and gateway.limits.may_send(item.name, call.placement_key, now)
     ]
+    untried = _list_returned(untried, call, gateway, now)
     reachable = [
         item for item in untried if not gateway.backoff.is_unavailable(item.name, now)
     ]
@@ -53,6 +54,17 @@
     return _choose_least_loaded(call.request_id, candidates, loads)
 
 
+def _list_returned(
+    replicas: list[Replica], call: Call, gateway: GatewayState, now: float
+) -> list[Replica]:
+    """Return the replicas to which a call has returned after they were cold, or all."""
+    cold, key = gateway.limits.cold, call.placement_key
+    if not cold.is_anyone_ramping(now):
+        return replicas
+    returned = [x for x in replicas if not cold.is_ramping(x.name, key, now)]
+    return returned or replicas
+
+
 def _find_renewal(
     candidates: list[Replica], gateway: GatewayState, now: float
 ) -> Replica | None:
@@ -79,16 +91,20 @@
     """Return the mean load of the replicas without a limit, or of all if none is left.
 
     The few calls of limited replicas would make the others' subjects spill to them.
-    Replicas of evacuated zones count as idle, since the load bound of the service
-    includes them.
+    Replicas of evacuated zones and cold ones count as idle, since the load bound of the
+    service includes them.
     """
     limits = gateway.limits
     names = [x.name for x in candidates if limits.get_limit(x.name) is None]
     counted = [loads[name] for name in names or loads]
     # The loads count one more call at each replica; the mean must not.
     mean = max(0.0, sum(counted) / len(counted) - 1)
-    evacuated = gateway.registry.count_evacuated(service)
-    return mean * len(candidates) / (len(candidates) + evacuated)
+    idle = gateway.registry.count_evacuated(service)
+    warm = len(candidates)
+    if names and limits.cold.limits:
+        warm -= sum(x.name in limits.cold.limits for x in candidates)
+        idle += gateway.registry.count_cold(service)
+    return mean * warm / (warm + idle)
 
 
 def _choose_by_affinity(
--- a/gentianworks/core/replica_list/discovery.py
+++ b/gentianworks/core/replica_list/discovery.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from gentianworks.core.cold_replicas.routers import update_cold_replicas
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.gateway import FetchReplicas
 from gentianworks.core.effects.lifecycle import LogEvent, SendMessage, SetTimer
@@ -160,6 +161,7 @@
         for item in changed
     ]
     logs += [LogEvent("GW5103", (("replica", item.name),)) for item in removed]
+    logs += update_cold_replicas(gateway, now)
     return [*logs, *dispatch_queued_calls(state, now)]
 
 
--- a/gentianworks/core/request_limits/replica_limits.py
+++ b/gentianworks/core/request_limits/replica_limits.py
@@ -7,11 +7,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Container, Iterable
+from collections.abc import Container, Iterable, Mapping
 from enum import Enum
 
 from attrs import define, field, frozen
 
+from gentianworks.core.cold_replicas import registry as cold_registry
+from gentianworks.core.cold_replicas.registry import ColdReplicas
 from gentianworks.core.gateway.notices import ReplicaNotices
 from gentianworks.core.gateway.replicas import ListVersion, Replica, ReplicaName
 from gentianworks.core.hashing import hash_to_fraction
@@ -47,13 +49,15 @@
     """A replica's limit and the part of it that a router may use.
 
     Both are in requests a second; `rate` is 0 for a router without a part. `age` is the
-    time in seconds since the limit was first named.
+    time in seconds since the limit was first named. `is_cold` is set if the limit is
+    that of a cold replica, which applies while the router's list says that it is cold.
     """
 
     replica: ReplicaName
     limit: float
     rate: float
     age: float = 0.0
+    is_cold: bool = False
 
 
 class LimitChange(Enum):
@@ -75,10 +79,10 @@
     updated_at: float  # seconds
     level: float  # requests
 
-    def refill(self, rate: float, now: float) -> None:
+    def refill(self, rate: float, burst_time: float, now: float) -> None:
         """Add the requests that `rate` allows since the last update."""
         added = rate * max(0.0, now - self.updated_at)
-        self.level = min(max(1.0, rate * BURST_TIME), self.level + added)
+        self.level = min(max(1.0, rate * burst_time), self.level + added)
         self.updated_at = now
 
 
@@ -110,12 +114,15 @@
 
     `lent` is the leader's table in `version`, `news` what the answers told since.
     `began_at` is the time in seconds at which the replica's first limit began, as the
-    leader told it; without that, a limit applies to all calls at once.
+    leader told it; without that, a limit applies to all calls at once. `lent_cold` is
+    the part of the table that is about cold replicas.
     """
 
     router: str = ""  # name of this router
     version: ListVersion = field(factory=ListVersion)
     lent: dict[ReplicaName, LentShare] = field(factory=dict)
+    lent_cold: dict[ReplicaName, LentShare] = field(factory=dict)
+    cold: ColdReplicas = field(factory=ColdReplicas)
     news: dict[ReplicaName, LimitNews] = field(factory=dict)
     began_at: dict[ReplicaName, float] = field(factory=dict)
     # Replicas that named a limit which could not be read.
@@ -127,10 +134,16 @@
 
     def is_empty(self) -> bool:
         """Return whether this router knows of no limit."""
-        return not self.lent and not self.news
+        return not self.lent and not self.news and not self.cold.limits
 
     def get_limit(self, name: ReplicaName) -> float | None:
         """Return a replica's limit in requests a second, or None."""
+        named, cold = self._get_named_limit(name), self.cold.limits.get(name)
+        if named is None or cold is None:
+            return named if cold is None else cold
+        return min(named, cold)
+
+    def _get_named_limit(self, name: ReplicaName) -> float | None:
         news = self.news.get(name)
         if news is not None:
             return news.limit
@@ -138,27 +151,39 @@
         return None if lent is None else lent.limit
 
     def list_limited(self) -> list[ReplicaName]:
-        """Return the replicas that limit their requests."""
+        """Return the replicas that limit their requests, cold or not."""
         names = dict.fromkeys((*self.lent, *self.news))
-        return [name for name in names if self.get_limit(name) is not None]
+        return [name for name in names if self._get_named_limit(name) is not None]
 
     def get_rate(self, name: ReplicaName) -> float:
         """Return this router's share of a replica's limit, in requests a second."""
         limit = self.get_limit(name)
         if limit is None:
             return float("inf")
+        if name in self.cold.limits:
+            return self._get_cold_rate(name, limit)
         if self.is_leader_silent:
             return limit / max(1, self.router_count)
         lent = self.lent.get(name)
         return lent.rate if lent is not None else 0.0
 
+    def _get_cold_rate(self, name: ReplicaName, limit: float) -> float:
+        """Return the share of a cold replica, which may have just named a limit."""
+        if self.is_leader_silent:
+            return limit / self.cold.router_count
+        lent = self.lent_cold.get(name)
+        return lent.rate * min(1.0, limit / lent.limit) if lent is not None else 0.0
+
     def may_send(self, name: ReplicaName, key: str, now: float) -> bool:
         """Return whether this router may send a replica a call now.
 
         Calls with the same `key` move to other replicas at the same moment.
         """
-        if self.get_limit(name) is None:
+        limit = self.get_limit(name)
+        if limit is None:
             return True
+        if name in self.cold.limits and self.is_leader_silent:
+            return self.cold.may_take_turn(self.router, name, limit, now)
         moved = self._compute_moved_share(name, now)
         if moved < 1 and hash_to_fraction(f"{name}/{key}") >= moved:
             return True
@@ -174,13 +199,20 @@
 
     def _compute_moved_share(self, name: ReplicaName, now: float) -> float:
         """Return the share of the calls that a limit applies to by now."""
+        if name in self.cold.limits:
+            return 1.0
         began_at = self.began_at.get(name, float("-inf"))
         return min(1.0, max(0.0, now - began_at) / TRANSITION_TIME)
 
     def record_sent(self, name: ReplicaName, now: float) -> None:
         """Use one request of this router's share."""
+        limit = self.cold.limits.get(name)
+        if limit is not None:
+            limit = self.get_limit(name) or limit
+            self.cold.record_turn(self.router, name, limit, now)
         self._refill(name, now).level -= 1
-        self._get_times(name, now).renewal_at = now + RENEWAL_TIME
+        if self._get_named_limit(name) is not None:
+            self._get_times(name, now).renewal_at = now + RENEWAL_TIME
 
     def _get_times(self, name: ReplicaName, now: float) -> NamingTimes:
         """Return the times of a limit, which counts as named now if it is new."""
@@ -200,8 +232,11 @@
         """Return the seconds until the first of some replicas may get a request."""
         waits = [float("inf")]
         for name in names:
-            rate = self.get_rate(name)
-            if rate > 0:
+            rate, limit = self.get_rate(name), self.cold.limits.get(name)
+            if limit is not None and self.is_leader_silent:
+                limit = self.get_limit(name) or limit
+                waits.append(self.cold.compute_turn_wait(self.router, name, limit, now))
+            elif rate > 0:
                 waits.append(max(0.0, 1 - self._refill(name, now).level) / rate)
         return min(waits)
 
@@ -210,7 +245,9 @@
         if tokens is None:
             level = hash_to_fraction(f"{self.router}/{name}")
             tokens = self._tokens[name] = RequestTokens(now, level)
-        tokens.refill(self.get_rate(name), now)
+        is_cold = name in self.cold.limits
+        burst_time = cold_registry.BURST_TIME if is_cold else BURST_TIME
+        tokens.refill(self.get_rate(name), burst_time, now)
         return tokens
 
     def _refill_all(self, now: float) -> None:
@@ -228,7 +265,7 @@
         self, replica: Replica, notices: ReplicaNotices, now: float
     ) -> LimitChange | None:
         """Record whether an answer names a limit, and return what this changes."""
-        name, known = replica.name, self.get_limit(replica.name)
+        name, known = replica.name, self._get_named_limit(replica.name)
         if notices.request_limit is not None:
             limit = max(MIN_LIMIT, notices.request_limit)
             times = self._get_times(name, now)
@@ -254,6 +291,21 @@
         self._times.pop(name, None)
         self._tokens.pop(name, None)
 
+    def update_cold(
+        self,
+        limits: dict[ReplicaName, float],
+        listed: Mapping[ReplicaName, Replica],
+        now: float,
+    ) -> tuple[list[ReplicaName], list[ReplicaName]]:
+        """Replace the cold replicas; return those that became cold, and warm."""
+        if limits == self.cold.limits:
+            return [], []
+        self._refill_all(now)
+        cold, warm = self.cold.update(limits, listed, now)
+        for name in (*cold, *warm):
+            self._tokens.pop(name, None)
+        return cold, warm
+
     def list_reports(self, now: float) -> tuple[ReportedLimit, ...]:
         """Return the limits to report to the leader with a heartbeat."""
         reports = tuple(
@@ -294,11 +346,12 @@
     def _replace_table(self, shares: tuple[LentShare, ...], now: float) -> None:
         self._refill_all(now)
         before = set(self.list_limited())
-        self.lent = {item.replica: item for item in shares}
+        self.lent = {item.replica: item for item in shares if not item.is_cold}
+        self._replace_cold_shares({x.replica: x for x in shares if x.is_cold}, now)
         limited = set(self.list_limited())
         for name in limited:
             self._get_times(name, now)
-        for share in shares:
+        for share in self.lent.values():
             began_at = now - share.age
             known = self.began_at.setdefault(share.replica, began_at)
             self.began_at[share.replica] = min(known, began_at)
@@ -306,6 +359,20 @@
         for name in before - limited:
             self._set_unlimited(name)
 
+    def _replace_cold_shares(
+        self, shares: dict[ReplicaName, LentShare], now: float
+    ) -> None:
+        """Replace the shares of cold replicas; a bucket of a new one begins anew.
+
+        The router that had the share may have used the request of this moment.
+        """
+        known, self.lent_cold = self.lent_cold, shares
+        for name, share in shares.items():
+            before = known.get(name)
+            if share.rate and (before is None or not before.rate):
+                self._tokens.pop(name, None)
+                self._refill(name, now)
+
 
 def _is_changed(limit: float, known: float, times: NamingTimes, now: float) -> bool:
     """Return whether a named limit replaces the known one."""
--- a/gentianworks/core/request_limits/shares.py
+++ b/gentianworks/core/request_limits/shares.py
@@ -11,6 +11,7 @@
 
 from attrs import define, field, frozen
 
+from gentianworks.core.cold_replicas.registry import ColdRates, list_cold_limits
 from gentianworks.core.gateway.replicas import ListVersion, Replica, ReplicaName
 from gentianworks.core.request_limits.replica_limits import (
     END_DELAY,
@@ -26,6 +27,9 @@
 ENDED_LIFETIME = 60.0  # seconds; reports that are still under way are younger
 
 
+EntryKey = tuple[ReplicaName, bool]  # the flag is set for the limit of a cold replica
+
+
 @frozen
 class ShareHolder:
     """Router that may hold shares; `name` is its peer address."""
@@ -63,9 +67,14 @@
     entries: dict[ReplicaName, LimitEntry] = field(factory=dict)
     ended_at: dict[ReplicaName, float] = field(factory=dict)
     routers: dict[str, ShareHolder] = field(factory=dict)
+    cold_rates: ColdRates = field(factory=ColdRates)
+    cold_limits: dict[ReplicaName, float] = field(factory=dict)
+    _cold_entries: dict[ReplicaName, LimitEntry] = field(factory=dict)
+    # List and cold rates from which `cold_limits` were computed.
+    _cold_source: tuple[ListVersion, ColdRates] | None = None
     _is_outdated: bool = False
-    # Limit and holders by replica, as they are in `version`.
-    _assigned: dict[ReplicaName, tuple[float, tuple[str, ...]]] = field(factory=dict)
+    # Limit and holders, as they are in `version`.
+    _assigned: dict[EntryKey, tuple[float, tuple[str, ...]]] = field(factory=dict)
 
     def begin_term(self, term: int, now: float) -> None:
         """Begin with an empty table, after this host has become the leader."""
@@ -74,6 +83,10 @@
         self.entries.clear()
         self.ended_at.clear()
         self.routers.clear()
+        self.cold_rates = ColdRates()
+        self.cold_limits = {}
+        self._cold_entries.clear()
+        self._cold_source = None
         self._assigned = {}
         self._is_outdated = False
 
@@ -129,6 +142,25 @@
             if now - ended_at > ENDED_LIFETIME:
                 del self.ended_at[name]
 
+    def record_cold_rates(self, rates: ColdRates) -> None:
+        """Record the cold rates of a router's route table, unless it is older."""
+        if rates.revision >= self.cold_rates.revision:
+            self.cold_rates = rates
+
+    def update_cold(
+        self, replicas: Mapping[ReplicaName, Replica], version: ListVersion
+    ) -> None:
+        """Apply a version of the list to the limits of cold replicas."""
+        source = (version, self.cold_rates)
+        if source == self._cold_source:
+            return
+        self._cold_source = source
+        rates = {item.service: item.rate for item in self.cold_rates.rates}
+        limits = list_cold_limits(replicas.values(), rates)
+        if limits != self.cold_limits:
+            self.cold_limits = limits
+            self._is_outdated = True
+
     def is_settled(self, now: float) -> bool:
         """Return whether this leader has led long enough to know the routers."""
         return now - self.began_at >= SETTLE_TIME
@@ -148,29 +180,48 @@
         if known == self.version:
             return ()
         return tuple(
-            LentShare(name, item.limit, item.get_rate(address), now - item.began_at)
-            for name, item in self.entries.items()
+            LentShare(
+                name, item.limit, item.get_rate(address), now - item.began_at, is_cold
+            )
+            for (name, is_cold), item in self._list_entries().items()
         )
 
+    def _list_entries(self) -> dict[EntryKey, LimitEntry]:
+        return {
+            **{(name, False): item for name, item in self.entries.items()},
+            **{(name, True): item for name, item in self._cold_entries.items()},
+        }
+
+    def _update_cold_entries(self) -> None:
+        """Limit each cold replica to its cold limit, or to the lower one it names."""
+        known, self._cold_entries = self._cold_entries, {}
+        for name, cold_limit in self.cold_limits.items():
+            named = self.entries.get(name)
+            limit = min(cold_limit, named.limit) if named else cold_limit
+            entry = known.get(name) or LimitEntry(limit, self.began_at, self.began_at)
+            entry.limit = limit
+            self._cold_entries[name] = entry
+
     def _assign(self, replicas: Mapping[ReplicaName, Replica]) -> None:
         """Lend the limits to routers; a router keeps a share that it has."""
-        entries, wanted = self.entries, {}
+        self._update_cold_entries()
+        entries, wanted = self._list_entries(), {}
         counts: Counter[tuple[ServiceName, str]] = Counter()
-        for name, entry in entries.items():
+        for key, entry in entries.items():
             count = max(1, min(len(self.routers), int(entry.limit / MIN_SHARE)))
             kept = [item for item in entry.holders if item in self.routers]
             entry.holders = tuple(kept[:count])
-            wanted[name] = count - len(entry.holders)
-            service = _find_service(name, replicas)
+            wanted[key] = count - len(entry.holders)
+            service = _find_service(key[0], replicas)
             counts.update((service, item) for item in entry.holders)
         missing = sorted(item for item in wanted if wanted[item])
         self._is_outdated = len(missing) > MAX_ASSIGNMENTS
-        for name in missing[:MAX_ASSIGNMENTS]:
-            entry, service = entries[name], _find_service(name, replicas)
-            added = self._choose_holders(name, service, counts)[: wanted[name]]
+        for key in missing[:MAX_ASSIGNMENTS]:
+            entry, service = entries[key], _find_service(key[0], replicas)
+            added = self._choose_holders(key[0], entry, service, counts)[: wanted[key]]
             entry.holders = (*entry.holders, *added)
             counts.update((service, item) for item in added)
-        shares = {name: (item.limit, item.holders) for name, item in entries.items()}
+        shares = {key: (item.limit, item.holders) for key, item in entries.items()}
         if shares != self._assigned:
             self._assigned = shares
             self.version = ListVersion(self.version.term, self.version.number + 1)
@@ -178,6 +229,7 @@
     def _choose_holders(
         self,
         name: ReplicaName,
+        entry: LimitEntry,
         service: ServiceName,
         counts: Counter[tuple[ServiceName, str]],
     ) -> list[str]:
@@ -186,7 +238,7 @@
         Those with few shares of the service come first, so that as many as possible can
         serve some calls if all its replicas limit their requests.
         """
-        holders = self.entries[name].holders
+        holders = entry.holders
         free = [item for item in self.routers.values() if item.name not in holders]
         ordered = order_by_score(name, free)
         return sorted(
--- a/gentianworks/core/request_limits/updates.py
+++ b/gentianworks/core/request_limits/updates.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from gentianworks.core.cold_replicas.registry import ColdRate, ColdRates
 from gentianworks.core.events.membership import Heartbeat, HeartbeatAnswer
 from gentianworks.core.gateway.replicas import ListVersion
 from gentianworks.core.gateway.state import GatewayState
@@ -22,6 +23,15 @@
     gateway.limits.router = state.node.name
 
 
+def describe_cold_rates(state: State) -> ColdRates:
+    """Return the cold rates of the route table; the control hosts don't decode it."""
+    table = state.gateway.table if state.gateway else None
+    if table is None:
+        return ColdRates()
+    rates = tuple(ColdRate(name, rate) for name, rate in table.cold_rates.items())
+    return ColdRates(table.revision, rates)
+
+
 def answer_limit_reports(
     event: Heartbeat, state: State, now: float
 ) -> tuple[ListVersion, tuple[LentShare, ...]]:
@@ -32,6 +42,8 @@
     table.record_router(event.peer_address, event.is_leaving)
     table.record_reports(event.limits, now)
     table.retain_listed(shared.replicas, now)
+    table.record_cold_rates(event.cold_rates)
+    table.update_cold(shared.replicas, shared.version)
     shares = table.list_shares(
         event.peer_address, event.limits_version, shared.replicas, now
     )
@@ -42,3 +54,5 @@
     """Apply a leader's table of limits."""
     if state.gateway is not None:
         state.gateway.limits.confirm(event.limits_version, event.limits, now)
+        if event.routers:
+            state.gateway.limits.cold.record_router_count(event.routers, now)
--- a/gentianworks/platform/replica_listing.py
+++ b/gentianworks/platform/replica_listing.py
@@ -247,7 +247,16 @@
         return None
     if not 0 < slots <= MAX_SLOTS or state not in {STATE_READY, STATE_DRAINING}:
         return None
-    return Replica(name, service, address, zone, slots, state == STATE_DRAINING)
+    is_leaving, is_cold = state == STATE_DRAINING, _is_cold(entry)
+    return Replica(name, service, address, zone, slots, is_leaving, is_cold)
+
+
+def _is_cold(entry: dict[str, Any]) -> bool:
+    """Return whether an entry names a time for which its replica is still cold."""
+    remaining = entry.get("coldRemainingMs")
+    if isinstance(remaining, bool) or not isinstance(remaining, int | float):
+        return False
+    return 0 < remaining < float("inf")
 
 
 def _is_text(value: Any) -> bool:
--- a/gentianworks/telemetry/log.py
+++ b/gentianworks/telemetry/log.py
@@ -238,6 +238,13 @@
             "A reopened availability zone gets calls without a newer list.",
             "Check that a control host leads and reaches the platform.",
         ),
+        CatalogueEntry(
+            "GW5135",
+            "A replica is cold and gets only the shares lent of its cold rate.",
+        ),
+        CatalogueEntry(
+            "GW5136", "A replica is warm again; its subjects return to it stepwise."
+        ),
         CatalogueEntry("GW5113", "A leader's list of replicas has taken effect."),
         CatalogueEntry(
             "GW5114",
--- a/gentianworks/telemetry/metrics.py
+++ b/gentianworks/telemetry/metrics.py
@@ -137,6 +137,11 @@
             "evacuated_zones",
             "Availability zones that get no new calls, as known to this process.",
         )
+        self.cold_replicas = self._add(
+            Gauge,
+            "cold_replicas",
+            "Cold replicas of services with a cold rate, as known to this process.",
+        )
         self.ledger_keys = self._add(
             Gauge, "ledger_keys", "Keys that this host's ledger holds, by status."
         )
@@ -210,9 +215,11 @@
             shared = sum(limits.get_rate(name) > 0 for name in limited)
             self.replica_limits.set({"state": "limited"}, len(limited))
             self.replica_limits.set({"state": "shared"}, shared)
+            self.cold_replicas.set({}, len(limits.cold.limits))
         elif is_fetcher(state):
             limited = list(state.limit_table.entries)
             self.replica_limits.set({"state": "limited"}, len(limited))
+            self.cold_replicas.set({}, len(state.limit_table.cold_limits))
 
     def _set_evacuation_metrics(self, state: State) -> None:
         if state.node.role is Role.CONTROL:
