Fill the buckets of cold replicas' shares when they are lent

Cause: a bucket began at a router's first call to the replica, so that call was always refused, and a lower limit that a cold replica named had no test. The mean also counted cold replicas of services without a cold rate as idle.

Change: buckets begin with the table; only replicas that are limited as cold count as idle.

--- a/gentianworks/core/gateway/replicas.py
+++ b/gentianworks/core/gateway/replicas.py
@@ -163,16 +163,6 @@
             for item in self.replicas.values()
         )
 
-    def count_cold(self, service: ServiceName) -> int:
-        """Return the number of cold replicas whose zone is not evacuated."""
-        return sum(
-            item.service == service
-            and item.is_cold
-            and not item.is_leaving
-            and not self.is_evacuated(item)
-            for item in self.replicas.values()
-        )
-
     def list_reachable(self, service: ServiceName) -> list[Replica]:
         """Return the replicas of a service, including those that are leaving."""
         return [
--- a/gentianworks/core/placement/choice.py
+++ b/gentianworks/core/placement/choice.py
@@ -102,8 +102,9 @@
     idle = gateway.registry.count_evacuated(service)
     warm = len(candidates)
     if names and limits.cold.limits:
+        usable = gateway.registry.list_usable(service)
         warm -= sum(x.name in limits.cold.limits for x in candidates)
-        idle += gateway.registry.count_cold(service)
+        idle += sum(x.name in limits.cold.limits for x in usable)
     return mean * warm / (warm + idle)
 
 
--- a/gentianworks/core/request_limits/replica_limits.py
+++ b/gentianworks/core/request_limits/replica_limits.py
@@ -370,6 +370,7 @@
         known, self.lent_cold = self.lent_cold, shares
         for name, share in shares.items():
             before = known.get(name)
+            self._refill(name, now)
             if before is not None and share.rate and not before.rate:
                 self._begin_moved_share(name, now)
 
