Forget the buckets of replicas that left the list

Cause: a cold replica that ends and starts under another name left its bucket at each router for good.

Change: buckets of replicas that are neither listed nor limited go with the next list.

Result: the new test fails without the change; 112 tests of cold replicas, limits and lists pass.

--- a/gentianworks/core/replica_list/discovery.py
+++ b/gentianworks/core/replica_list/discovery.py
@@ -147,6 +147,7 @@
     removed = [item for item in previous.values() if item.name not in listed]
     gateway.registry.update(replicas, version, current_at, now)
     gateway.health.retain_replicas(set(listed))
+    cold = update_cold_replicas(gateway, now)
     gateway.limits.retain_listed(listed)
     logs: list[Effect] = [
         LogEvent(
@@ -161,8 +162,7 @@
         for item in changed
     ]
     logs += [LogEvent("GW5103", (("replica", item.name),)) for item in removed]
-    logs += update_cold_replicas(gateway, now)
-    return [*logs, *dispatch_queued_calls(state, now)]
+    return [*logs, *cold, *dispatch_queued_calls(state, now)]
 
 
 @reduce.register
--- a/gentianworks/core/request_limits/replica_limits.py
+++ b/gentianworks/core/request_limits/replica_limits.py
@@ -151,7 +151,7 @@
         return None if lent is None else lent.limit
 
     def list_limited(self) -> list[ReplicaName]:
-        """Return the replicas that limit their requests, cold or not."""
+        """Return the replicas that name a limit, cold or not."""
         names = dict.fromkeys((*self.lent, *self.news))
         return [name for name in names if self._get_named_limit(name) is not None]
 
@@ -346,6 +346,9 @@
         for name in list(self.began_at):
             if name not in names:
                 del self.began_at[name]
+        for name in list(self._tokens):
+            if name not in names and self.get_limit(name) is None:
+                del self._tokens[name]
 
     def _replace_table(self, shares: tuple[LentShare, ...], now: float) -> None:
         self._refill_all(now)
--- a/gentianworks/tests/test_cold_replicas.py
+++ b/gentianworks/tests/test_cold_replicas.py
@@ -198,6 +198,12 @@
         limits = get_gateway(state).limits
         assert limits.get_limit("engines-1") == limits.get_rate("engines-1") == 3.0
 
+    def test_buckets_of_replicas_that_left_the_list_are_forgotten(self) -> None:
+        state = build_router(cold=(1, 2))
+        lend(state, NOW + 0.2, 2, engines_1=1.0, engines_2=1.0)
+        list_replicas(state, NOW + 1, (), count=1)
+        assert set(get_gateway(state).limits._tokens) <= {"engines-1"}
+
     def test_urgent_calls_use_a_share_first(self) -> None:
         state = build_router(cold=(1, 2))
         lend(state, NOW + 0.2, 2, engines_1=1.0, engines_2=1.0)
