--- a/gentianworks/core/replica_list/discovery.py
+++ b/gentianworks/core/replica_list/discovery.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from gentianworks.core.cold_replicas.routers import update_cold_replicas
 from gentianworks.core.effects.base import Effect
 from gentianworks.core.effects.gateway import FetchReplicas
 from gentianworks.core.effects.lifecycle import LogEvent, SendMessage, SetTimer
@@ -146,6 +147,7 @@
     removed = [item for item in previous.values() if item.name not in listed]
     gateway.registry.update(replicas, version, current_at, now)
     gateway.health.retain_replicas(set(listed))
+    cold = update_cold_replicas(gateway, now)
     gateway.limits.retain_listed(listed)
     gateway.outliers.recent.retain_replicas(set(listed))
     logs: list[Effect] = [
@@ -161,7 +163,7 @@
         for item in changed
     ]
     logs += [LogEvent("GW5103", (("replica", item.name),)) for item in removed]
-    return [*logs, *dispatch_queued_calls(state, now)]
+    return [*logs, *cold, *dispatch_queued_calls(state, now)]
 
 
 @reduce.register
--- a/gentianworks/telemetry/log.py
+++ b/gentianworks/telemetry/log.py
@@ -244,6 +244,12 @@
             "Check the replica's log; its health check may still pass.",
         ),
         CatalogueEntry("GW5141", "This router avoids replicas that fail calls."),
+            "GW5135",
+            "A replica is cold and gets only the shares lent of its cold rate.",
+        ),
+        CatalogueEntry(
+            "GW5136", "A replica is warm again; its subjects return to it stepwise."
+        ),
         CatalogueEntry("GW5113", "A leader's list of replicas has taken effect."),
         CatalogueEntry(
             "GW5114",
