Place and admit calls by the slowness that replicas report

Cause: on deployments whose Instance-Load has a fourth figure, a call counted the same at a replica on which work takes three times as long.

Routers now keep a decaying estimate of each replica's slowness, relative to the mean of its service and as far as delays confirm it. Placement weighs load by it, admission its queueing and run time; the load bound still counts calls. gentianworks_delay_error_seconds has the error of the expected time to the first event. Services that report no slowness take the same path as before.

--- a/gentianworks/core/effects/gateway.py
+++ b/gentianworks/core/effects/gateway.py
@@ -18,7 +18,8 @@
 
     `resume_after` is the number of the last event that the caller has received, -1 for
     none. `source` is a replica from which this one fetches the missing part of the
-    prompt's cache.
+    prompt's cache. `expected_delay` is the expected number of seconds to the first
+    event, -1 if unknown.
     """
 
     exchange: ExchangeId
@@ -31,6 +32,7 @@
     resume_after: int = -1
     retry_policy: RetryPolicy = RetryPolicy.AT_MOST_ONCE
     source: Replica | None = None
+    expected_delay: float = -1.0
 
 
 @frozen
--- a/gentianworks/core/effects/metrics.py
+++ b/gentianworks/core/effects/metrics.py
@@ -47,6 +47,14 @@
     seconds: float
 
 
+@frozen
+class ObserveDelayError(Effect):
+    """Record by how many seconds a first event missed its expected time."""
+
+    service: ServiceName
+    seconds: float
+
+
 @frozen
 class CountTokens(Effect):
     """Count the tokens that a piece of an engine's response reports, if any."""
--- a/gentianworks/core/gateway/admission.py
+++ b/gentianworks/core/gateway/admission.py
@@ -21,7 +21,10 @@
 
 @frozen
 class WaitEstimate:
-    """Expected times of a call at a replica, in seconds."""
+    """Expected times of a call at a replica, in seconds.
+
+    The run time includes the replica's slowness, if its service reports any.
+    """
 
     queue_time: float
     run_time: float
@@ -33,12 +36,11 @@
     gateway.mean_durations[service] = mean + DURATION_MEAN_WEIGHT * (seconds - mean)
 
 
-def estimate_wait(
-    exchange: GatewayExchange, replica: Replica, gateway: GatewayState, now: float
-) -> WaitEstimate:
+def estimate_wait(replica: Replica, gateway: GatewayState, now: float) -> WaitEstimate:
     """Return how long a call would queue and run at a replica."""
     load = gateway.registry.get_load(replica.name).estimate(now)
-    run_time = gateway.mean_durations.get(exchange.service, DEFAULT_DURATION)
+    factor = gateway.speeds.compute_cost_factor(replica.name, replica.service, now)
+    run_time = factor * gateway.mean_durations.get(replica.service, DEFAULT_DURATION)
     slots = max(1, replica.slots)
     calls_ahead = max(0, load + 1 - slots)
     return WaitEstimate(calls_ahead * run_time / slots, run_time)
@@ -50,17 +52,42 @@
     """Return the retry delay in seconds, or 0 if the replica can serve the call now.
 
     A stream meets its deadline with its first byte, any other call with its end.
+    A replica with a free slot is never refused for its slowness alone.
     """
     remaining = exchange.deadline - now
-    estimate = estimate_wait(exchange, replica, gateway, now)
-    first_byte = estimate.queue_time + (
-        0.0 if exchange.route.is_stream else estimate.run_time
-    )
+    estimate = estimate_wait(replica, gateway, now)
+    run_time = estimate.run_time
+    if not estimate.queue_time:
+        run_time = gateway.mean_durations.get(exchange.service, DEFAULT_DURATION)
+    first_byte = estimate.queue_time + (0.0 if exchange.route.is_stream else run_time)
     if first_byte <= remaining:
         return 0.0
     return spread_retry_after(exchange, max(MIN_RETRY_AFTER, first_byte - remaining))
 
 
+def expect_delay(
+    exchange: GatewayExchange, replica: Replica, gateway: GatewayState, now: float
+) -> float:
+    """Return the expected seconds to the first event of a call that is being sent.
+
+    Returns -1 if the service reports no slowness or has not answered yet. The
+    expectation is noted with the call, to be compared with the answer.
+    """
+    exchange.expected_queue_time = exchange.speed_deviation = 0.0
+    speeds = gateway.speeds.services.get(replica.service)
+    if speeds is None:
+        return -1.0
+    queue_time = estimate_wait(replica, gateway, now).queue_time
+    exchange.expected_queue_time = queue_time
+    exchange.speed_deviation = gateway.speeds.compute_deviation(
+        replica.name, replica.service, now
+    )
+    if not speeds.mean_delay:
+        return -1.0
+    factor = gateway.speeds.compute_cost_factor(replica.name, replica.service, now)
+    return queue_time + factor * speeds.mean_delay
+
+
 def spread_retry_after(exchange: GatewayExchange, seconds: float) -> float:
     """Return a retry delay with jitter that lets more urgent ranks retry first."""
     fraction = hash_to_fraction(f"return/{exchange.call.request_id}")
--- a/gentianworks/core/gateway/attempts.py
+++ b/gentianworks/core/gateway/attempts.py
@@ -50,6 +50,7 @@
     exchange.has_received_head = True
     _record_health(exchange, answer, gateway, now)
     _record_load(exchange, answer, gateway, now)
+    _record_slowness(exchange, answer, gateway, now)
     limits = record_limit(exchange.replica, answer, state, now)
     return [*limits, *_handle_answer_start(exchange, answer, state, now)]
 
@@ -202,6 +203,18 @@
     load.record_report(answer.running + max(0, answer.waiting), now)
 
 
+def _record_slowness(
+    exchange: GatewayExchange,
+    answer: ReplicaAnswerHead,
+    gateway: GatewayState,
+    now: float,
+) -> None:
+    if not answer.slowness or answer.is_other_replica or exchange.replica is None:
+        return
+    replica = exchange.replica
+    gateway.speeds.record_figure(replica.name, replica.service, answer.slowness, now)
+
+
 @reduce.register
 def _(event: ReplicaAnswerPiece, state: State, now: float) -> list[Effect]:
     gateway = state.gateway
@@ -230,6 +243,11 @@
     if exchange.has_received_piece or state.gateway is None:
         return []
     exchange.has_received_piece = True
+    if not exchange.expected_queue_time:
+        delay = now - exchange.sent_at
+        state.gateway.speeds.record_delay(
+            exchange.service, exchange.speed_deviation, delay
+        )
     return record_served_call(exchange.call, state.gateway.crashes, state, now)
 
 
--- a/gentianworks/core/gateway/dispatch.py
+++ b/gentianworks/core/gateway/dispatch.py
@@ -16,7 +16,11 @@
     CallWaitExpired,
     GraceEnding,
 )
-from gentianworks.core.gateway.admission import DEFAULT_DURATION, compute_retry_after
+from gentianworks.core.gateway.admission import (
+    DEFAULT_DURATION,
+    compute_retry_after,
+    expect_delay,
+)
 from gentianworks.core.gateway.calls import Call
 from gentianworks.core.gateway.crashes import check_call
 from gentianworks.core.gateway.log_details import describe_call
@@ -221,6 +225,7 @@
     exchange.has_received_head = False
     exchange.has_received_piece = False
     exchange.awaits_next_event = exchange.has_sent_head
+    expected_delay = expect_delay(exchange, replica, gateway, now)
     exchange.tried_replicas.add(replica.name)
     gateway.registry.get_load(replica.name).own_calls += 1
     record_sent_call(exchange, replica, gateway, now)
@@ -239,6 +244,7 @@
         resume_after=exchange.last_event,
         retry_policy=exchange.route.retry_policy,
         source=find_prompt_source(exchange.call, replica, gateway, now),
+        expected_delay=expected_delay,
     )
     return [sent, SetTimer(now + silence_timeout, AnswerStartOverdue(exchange.attempt))]
 
--- a/gentianworks/core/gateway/state.py
+++ b/gentianworks/core/gateway/state.py
@@ -11,6 +11,7 @@
 from gentianworks.core.gateway.route_table import RetryPolicy, Route, RouteTable
 from gentianworks.core.gateway.startup_queue import QueuedCall
 from gentianworks.core.placement.health import HealthTable
+from gentianworks.core.placement.speeds import SpeedTable
 from gentianworks.core.replica_list.fetches import ListFetches
 from gentianworks.core.request_limits.rank_demand import RankDemand
 from gentianworks.core.request_limits.replica_limits import ReplicaLimits
@@ -39,6 +40,9 @@
     attempt: AttemptId = ""
     replica: Replica | None = None
     sent_at: float = 0.0
+    # Of the current attempt, when it was sent, if its service reports slowness.
+    expected_queue_time: float = 0.0
+    speed_deviation: float = 0.0
     has_received_head: bool = False  # the current attempt has begun to answer
     has_received_piece: bool = False  # of the current attempt's answer
     was_lost: bool = False  # an attempt's connection ended before the answer began
@@ -80,6 +84,7 @@
     registry: ReplicaRegistry = field(factory=ReplicaRegistry)
     backoff: EndpointBackoff = field(factory=EndpointBackoff)
     health: HealthTable = field(factory=HealthTable)
+    speeds: SpeedTable = field(factory=SpeedTable)
     retry_budgets: dict[ServiceName, RetryBudget] = field(factory=dict)
     mean_durations: dict[ServiceName, float] = field(factory=dict)
     list_fetches: ListFetches = field(factory=ListFetches)
--- a/gentianworks/core/placement/choice.py
+++ b/gentianworks/core/placement/choice.py
@@ -46,6 +46,8 @@
     due = _find_renewal(candidates, gateway, now)
     if due is not None:
         return due
+    if gateway.speeds.is_reported(service):
+        return _choose_by_speed(call, candidates, gateway, now)
     loads = {item.name: _compute_load(item, gateway, now) for item in candidates}
     if call.affinity_key:
         mean = _compute_mean(service, candidates, loads, gateway)
@@ -91,6 +93,41 @@
     return mean * len(candidates) / (len(candidates) + evacuated)
 
 
+def _choose_by_speed(
+    call: Call, candidates: list[Replica], gateway: GatewayState, now: float
+) -> Replica:
+    """Return the replica for a call of a service whose replicas report slowness.
+
+    Slower replicas take fewer calls. The load bound counts calls at any speed.
+    """
+    calls: dict[ReplicaName, float] = {}
+    costs: dict[ReplicaName, float] = {}
+    for item in candidates:
+        load = gateway.registry.get_load(item.name).estimate(now) + 1
+        calls[item.name] = load
+        costs[item.name] = load * _compute_cost_factor(item, gateway, now)
+    service = candidates[0].service
+    bound = SPILL_MULTIPLE * _compute_mean(service, candidates, calls, gateway)
+    allowed = [x for x in candidates if calls[x.name] <= bound + SPILL_FLOOR]
+    if not allowed:
+        return _choose_least_loaded(call.request_id, candidates, calls)
+    if call.affinity_key:
+        mean = _compute_mean(service, candidates, costs, gateway)
+        return _choose_by_affinity(call.affinity_key, allowed, costs, mean)
+    return _choose_least_loaded(call.request_id, allowed, costs)
+
+
+def _compute_cost_factor(replica: Replica, gateway: GatewayState, now: float) -> float:
+    """Return the factor by which a replica's load counts.
+
+    The slowness that a replica reports also shows in its latency, by which its health
+    is judged, so the larger of the two counts rather than their product.
+    """
+    speed = gateway.speeds.compute_cost_factor(replica.name, replica.service, now)
+    health = gateway.health.compute_cost_factor(replica.name, replica.service, now)
+    return max(speed, health) if health > 1.0 else speed
+
+
 def _choose_by_affinity(
     affinity_key: str,
     candidates: list[Replica],
--- a/gentianworks/core/replica_list/discovery.py
+++ b/gentianworks/core/replica_list/discovery.py
@@ -146,6 +146,7 @@
     removed = [item for item in previous.values() if item.name not in listed]
     gateway.registry.update(replicas, version, current_at, now)
     gateway.health.retain_replicas(set(listed))
+    gateway.speeds.retain_replicas(set(listed))
     gateway.limits.retain_listed(listed)
     logs: list[Effect] = [
         LogEvent(
--- a/gentianworks/core/request_metrics.py
+++ b/gentianworks/core/request_metrics.py
@@ -25,6 +25,7 @@
     CountAttempt,
     CountRequest,
     CountTokens,
+    ObserveDelayError,
     ObserveLatency,
     Stage,
 )
@@ -69,6 +70,7 @@
     started_at: float
     endpoint: str = ""
     is_stage_recorded: bool = False
+    expected_first_piece_at: float = -1.0  # seconds; -1 if unknown
 
 
 @define
@@ -113,6 +115,9 @@
     if span is not None:
         service = effect.replica.service
         span.request = MetricLabels(service, effect.workspace, str(effect.urgency))
+        is_expected = effect.expected_delay >= 0
+        expected_at = now + effect.expected_delay if is_expected else -1.0
+        span.expected_first_piece_at = expected_at
     return []
 
 
@@ -127,7 +132,17 @@
     if span is None or span.is_stage_recorded:
         return []
     span.is_stage_recorded = True
-    return [_measure_duration(Stage.FIRST_PIECE, span, now)]
+    return [
+        _measure_duration(Stage.FIRST_PIECE, span, now),
+        *_measure_delay_error(span, now),
+    ]
+
+
+def _measure_delay_error(span: Span, now: float) -> list[Effect]:
+    if span.expected_first_piece_at < 0:
+        return []
+    error = abs(now - span.expected_first_piece_at)
+    return [ObserveDelayError(span.request.service, error)]
 
 
 @derive.register
--- a/gentianworks/telemetry/metrics.py
+++ b/gentianworks/telemetry/metrics.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from aioprometheus import Counter, Gauge, Histogram, Registry, render
+from aioprometheus import Counter, Gauge, Histogram, Registry, Summary, render
 from attrs import frozen
 
 from gentianworks.codecs.usage import find_usage
@@ -14,6 +14,7 @@
     CountAttempt,
     CountRequest,
     CountTokens,
+    ObserveDelayError,
     ObserveLatency,
 )
 from gentianworks.core.ledger.ledger import Ledger
@@ -30,6 +31,7 @@
 from gentianworks.telemetry.labels import OTHER, LabelLimiter
 
 LATENCY_BUCKETS = (0.01, 0.05, 0.1, 0.25, 0.5, 0.7, 1, 2, 5, 10, 30, 120, float("inf"))
+DELAY_ERROR_QUANTILES = ((0.5, 0.05), (0.9, 0.01))  # each with its tolerance
 
 
 class Metrics:
@@ -54,6 +56,13 @@
             registry=self.registry,
             buckets=LATENCY_BUCKETS,
         )
+        self.delay_errors = Summary(
+            "gentianworks_delay_error_seconds",
+            "Difference between the expected and the actual time to the first piece, "
+            "for services whose replicas report their slowness.",
+            registry=self.registry,
+            invariants=DELAY_ERROR_QUANTILES,
+        )
         self.prompt_tokens = self._add(
             Counter,
             "prompt_tokens_total",
@@ -309,6 +318,13 @@
     metrics.latency.observe(labels, effect.seconds)
 
 
+@perform.register
+def _(effect: ObserveDelayError, process: Process) -> None:
+    metrics = process.get_adapter(Metrics)
+    labels = metrics.build_labels(service=effect.service)
+    metrics.delay_errors.observe(labels, effect.seconds)
+
+
 @perform.register
 def _(effect: CountTokens, process: Process) -> None:
     usage = find_usage(effect.data)
@@ -321,12 +337,22 @@
 
 
 def _log_lost_sample(
-    effect: CountRequest | CountAttempt | ObserveLatency | CountTokens,
+    effect: CountRequest
+    | CountAttempt
+    | ObserveLatency
+    | ObserveDelayError
+    | CountTokens,
     process: Process,
     error: Exception,
 ) -> None:
     process.log_failed_effect(effect)
 
 
-for _kind in (CountRequest, CountAttempt, ObserveLatency, CountTokens):
+for _kind in (
+    CountRequest,
+    CountAttempt,
+    ObserveLatency,
+    ObserveDelayError,
+    CountTokens,
+):
     contain_failure.register(_kind, _log_lost_sample)
