--- a/gentianworks/core/gateway/admission.py
+++ b/gentianworks/core/gateway/admission.py
@@ -52,19 +52,29 @@
     """Return the retry delay in seconds, or 0 if the replica can serve the call now.
 
     A stream meets its deadline with its first byte, any other call with its end.
-    A replica with a free slot is never refused for its slowness alone.
+    Where replicas report slowness, no call is refused while one has a free slot: that a
+    replica is slow is no reason to let it idle.
     """
     remaining = exchange.deadline - now
     estimate = estimate_wait(replica, gateway, now)
-    run_time = estimate.run_time
-    if not estimate.queue_time:
-        run_time = gateway.mean_durations.get(exchange.service, DEFAULT_DURATION)
-    first_byte = estimate.queue_time + (0.0 if exchange.route.is_stream else run_time)
+    first_byte = estimate.queue_time + (
+        0.0 if exchange.route.is_stream else estimate.run_time
+    )
     if first_byte <= remaining:
         return 0.0
+    if remaining > 0 and _has_free_slot(exchange.service, gateway, now):
+        return 0.0
     return spread_retry_after(exchange, max(MIN_RETRY_AFTER, first_byte - remaining))
 
 
+def _has_free_slot(service: str, gateway: GatewayState, now: float) -> bool:
+    """Return whether a replica has a free slot, if its service reports slowness."""
+    return gateway.speeds.is_reported(service) and any(
+        gateway.registry.get_load(item.name).estimate(now) < item.slots
+        for item in gateway.registry.list_usable(service)
+    )
+
+
 def expect_delay(
     exchange: GatewayExchange, replica: Replica, gateway: GatewayState, now: float
 ) -> float:
--- a/gentianworks/core/placement/speeds.py
+++ b/gentianworks/core/placement/speeds.py
@@ -17,7 +17,8 @@
 MIN_SLOWNESS = 0.25  # a faster replica would attract the calls of all routers at once
 MAX_SLOWNESS = 4.0  # a slower replica would get no calls, and could report no change
 FIGURE_LIFETIME = 3.0  # seconds; then a replica counts as usual
-FIGURE_WEIGHT = 0.5  # of each new figure; a machine's speed changes between two of them
+FIGURE_WEIGHT = 0.3  # of each new figure; a speed changes many times between two
+MEMORY_TIME = 10.0  # seconds; after as long a pause, a new figure replaces the old ones
 SERVICE_WEIGHT = 0.05  # of each answer; averages over some twenty answers
 EVIDENCE_WEIGHT = 0.02  # of each answer; a false figure is recognized after some fifty
 INITIAL_EVIDENCE = 0.1  # figures count in full until answers contradict them
@@ -78,10 +79,11 @@
         speeds = self.services.setdefault(service, ServiceSpeeds(slowness))
         speeds.mean_slowness += SERVICE_WEIGHT * (slowness - speeds.mean_slowness)
         speed = self.replicas.get(replica)
-        if speed is None or now - speed.reported_at >= FIGURE_LIFETIME:
+        if speed is None:
             self.replicas[replica] = ReplicaSpeed(slowness, now)
             return
-        speed.slowness += FIGURE_WEIGHT * (slowness - speed.slowness)
+        weight = max(FIGURE_WEIGHT, min(1.0, (now - speed.reported_at) / MEMORY_TIME))
+        speed.slowness += weight * (slowness - speed.slowness)
         speed.reported_at = now
 
     def is_reported(self, service: ServiceName) -> bool:
