--- a/gentianworks/telemetry/log.py
+++ b/gentianworks/telemetry/log.py
@@ -244,6 +244,7 @@
             "Check the replica's log; its health check may still pass.",
         ),
         CatalogueEntry("GW5141", "This router avoids replicas that fail calls."),
+        CatalogueEntry(
             "GW5135",
             "A replica is cold and gets only the shares lent of its cold rate.",
         ),
