--- a/gentianworks/tests/test_failed_effects.py
+++ b/gentianworks/tests/test_failed_effects.py
@@ -35,6 +35,7 @@
     CountAttempt,
     CountRequest,
     CountTokens,
+    ObserveDelayError,
     ObserveLatency,
 )
 from gentianworks.core.effects.operators import AnswerOperator
@@ -92,6 +93,7 @@
     CountTokens,
     FetchReplicas,
     LogEvent,
+    ObserveDelayError,
     ObserveLatency,
     SendMessage,
 }
