--- a/gentianworks/core/cold_replicas/registry.py
+++ b/gentianworks/core/cold_replicas/registry.py
@@ -21,8 +21,8 @@
 RAMP_TIME = 2.0  # seconds in which the subjects of a replica that is warm return
 TURN_TIME = 0.15  # seconds; a longer turn makes more routers' turns meet in one second
 # Of the lent part, while no host leads. Routers that are cut off use it besides the
-# shares that a leader lends to the others; with 25 of 28 cut off, a whole part gave 23
-# requests in a second, of 23 allowed.
+# shares that a leader lends to the others; with 25 of 28 cut off, a whole part gave 21
+# to 23 requests in a second, of 23 allowed.
 EVEN_PART = 0.75
 # Seconds without requests in which others end theirs, when a share moves.
 HANDOVER_TIME = 1.0
