Keep unused library modules out of the platform's processes

uvicorn, expression and aioprometheus import all of their modules with any one of them, and asyncio, uvicorn, anyio, hashlib and hmac load OpenSSL, which no process of the platform uses. The packages are now deferred until a name is used that only their own code defines, and OpenSSL is hidden while the modules load. Other commands of the program load as before.

--- /dev/null
+++ b/gentianworks/imports.py
@@ -0,0 +1,106 @@
+"""Imports: keeps modules that a process does not use out of its memory.
+
+Several libraries import all of their modules with any one of them, or import OpenSSL
+for a feature that the process does not use.
+"""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
+from importlib import import_module
+from importlib.util import find_spec
+from types import ModuleType
+from typing import Any
+
+# Names that are used of packages that import all of their modules, with the modules
+# that define them. This leaves out the command line and supervisors of uvicorn, the
+# collections and effects of expression and the middleware of aioprometheus (2.3 MB).
+DEFERRED_PACKAGES = {
+    "aioprometheus": {
+        "Counter": "aioprometheus.collectors",
+        "Gauge": "aioprometheus.collectors",
+        "Histogram": "aioprometheus.collectors",
+        "Registry": "aioprometheus.collectors",
+        "render": "aioprometheus.renderer",
+    },
+    "expression": {
+        "Error": "expression.core.result",
+        "Ok": "expression.core.result",
+        "Result": "expression.core.result",
+    },
+    "uvicorn": {"Config": "uvicorn.config", "Server": "uvicorn.server"},
+}
+# Modules that load OpenSSL (4.6 MB, of which 1.2 MB are private). The platform's
+# processes serve no TLS, and hashlib and hmac have implementations without OpenSSL.
+OPENSSL_MODULES = ("ssl", "_ssl", "_hashlib")
+# Names of the module ssl that uvicorn and anyio read when they are imported.
+SSL_NAMES = {"PROTOCOL_TLS_SERVER": 17, "CERT_NONE": 0, "SSLContext": object}
+
+
+class DeferredPackage(ModuleType):
+    """Package that loads its modules separately, and runs its own code only if needed.
+
+    Its own code runs on the first use of a name that `names` does not list.
+    """
+
+    def __init__(self, name: str, names: dict[str, str]) -> None:
+        spec = find_spec(name)
+        if spec is None or spec.loader is None:
+            raise ModuleNotFoundError(f"No module named {name!r}", name=name)
+        super().__init__(name)
+        self.__spec__ = spec
+        self.__loader__ = spec.loader
+        self.__file__ = spec.origin
+        self.__path__ = list(spec.submodule_search_locations or ())
+        self._module_of_name = names
+
+    def __getattr__(self, name: str) -> Any:
+        """Return a listed name, or one that the package's own code defines."""
+        if name.startswith("__"):
+            raise AttributeError(name)
+        if name in self._module_of_name:
+            value = getattr(import_module(self._module_of_name[name]), name)
+            setattr(self, name, value)
+            return value
+        spec = self.__spec__
+        assert spec is not None
+        assert spec.loader is not None
+        if find_spec(f"{spec.name}.{name}") is not None:
+            return import_module(f"{spec.name}.{name}")
+        self.__class__ = ModuleType  # type: ignore[assignment]
+        spec.loader.exec_module(self)
+        return getattr(self, name)
+
+
+def defer_packages() -> None:
+    """Defer the own code of the packages that are not yet imported."""
+    for name, names in DEFERRED_PACKAGES.items():
+        if name not in sys.modules:
+            sys.modules[name] = DeferredPackage(name, names)
+
+
+@contextmanager
+def omit_openssl() -> Iterator[None]:
+    """Keep modules that are imported within the context from loading OpenSSL.
+
+    Code that is imported afterwards can import the module ssl as usual.
+    """
+    hidden = [name for name in OPENSSL_MODULES if name not in sys.modules]
+    for name in hidden:
+        sys.modules[name] = None  # type: ignore[assignment]
+    try:
+        # These do without the hidden modules; other libraries need some names of ssl.
+        for name in ("asyncio", "hashlib", "hmac"):
+            import_module(name)
+        if "ssl" in hidden:
+            placeholder = ModuleType(
+                "ssl", "Placeholder of a module that isn't loaded."
+            )
+            vars(placeholder).update(SSL_NAMES)
+            sys.modules["ssl"] = placeholder
+        yield
+    finally:
+        for name in hidden:
+            sys.modules.pop(name, None)
--- a/gentianworks/platform/__main__.py
+++ b/gentianworks/platform/__main__.py
@@ -10,6 +10,7 @@
 import gc
 import sys
 import time
+from importlib import import_module
 from pathlib import Path
 
 # Written by scripts/build-target.
@@ -29,10 +30,15 @@
 
     listener = open_client_listener()
     from gentianworks.generated import load_code_cache, use_code_cache
+    from gentianworks.imports import defer_packages, omit_openssl
 
-    with use_code_cache(load_code_cache(CODES)):
+    defer_packages()
+    with omit_openssl(), use_code_cache(load_code_cache(CODES)):
         from gentianworks.core.types import Role
         from gentianworks.platform.runner import ProcessStart, run
+
+        # anyio would import it when it starts the event loop, with OpenSSL.
+        import_module("anyio._backends._asyncio")
     gc.freeze()
     gc.set_threshold(*thresholds)
     run(Role(sys.argv[1]), ProcessStart(started_at, listener))
