Look up generated code by digest and drop its positions

The file of generated code had each source as a key, and the code had the positions of a source that is not kept. Both were in memory while the modules loaded, and left it fragmented. The keys are now digests, and all instructions have the position of the first line; a test guards that tracebacks can still be formatted.

--- a/gentianworks/generated.py
+++ b/gentianworks/generated.py
@@ -22,8 +22,14 @@
 from types import CodeType
 
 import attr._make
+import xxhash
 from attrs import define, field
 
+# Format of co_linetable: an entry has a flag, a kind (13 is a line without columns) and
+# the number of code units less one; the difference to the previous line follows.
+SAME_LINE_ENTRY = 0x80 | (13 << 3)
+MAX_ENTRY_UNITS = 8
+BYTES_PER_UNIT = 2
 # attrs writes a salt into each __hash__, which differs between processes but only has
 # to differ between classes, so the cache key omits it.
 HASH_SALT = re.compile(r"^ +-?\d+,$", re.MULTILINE)
@@ -31,23 +37,48 @@
 
 @define
 class CodeCache:
-    """Cache of compiled code by file name and source."""
+    """Cache of compiled code by the digest of its file name and source."""
 
-    code_objects: dict[tuple[str, str], CodeType] = field(factory=dict)
+    code_objects: dict[bytes, CodeType] = field(factory=dict)
     compiled_count: int = 0  # sources that were not cached
 
     def compile(self, source: str, filename: str, mode: str) -> CodeType:
         """Return the code of a source, compiling it if it is not cached."""
         # attrs keeps each source in linecache for debuggers, which takes megabytes.
         linecache.cache.pop(filename, None)
-        key = (filename, HASH_SALT.sub("", source))
+        key = _digest(filename, HASH_SALT.sub("", source))
         code = self.code_objects.get(key)
         if code is None:
-            code = self.code_objects[key] = compile(source, filename, mode)
+            code = _strip_positions(compile(source, filename, mode))
+            self.code_objects[key] = code
             self.compiled_count += 1
         return code
 
 
+def _digest(filename: str, source: str) -> bytes:
+    # The sources themselves would be most of the file and of the memory for it.
+    text = f"{filename}\0{source}".encode()
+    return xxhash.xxh3_128_digest(text)
+
+
+def _strip_positions(code: CodeType) -> CodeType:
+    """Return code whose instructions all have the position of the first line.
+
+    Exact positions are of no use without the source. An empty table would make Python
+    fail to format tracebacks.
+    """
+    constants = tuple(
+        _strip_positions(item) if isinstance(item, CodeType) else item
+        for item in code.co_consts
+    )
+    count = len(code.co_code) // BYTES_PER_UNIT
+    table = bytearray()
+    for start in range(0, count, MAX_ENTRY_UNITS):
+        length = min(MAX_ENTRY_UNITS, count - start)
+        table += bytes((SAME_LINE_ENTRY | (length - 1), 0))
+    return code.replace(co_consts=constants, co_linetable=bytes(table))
+
+
 def load_code_cache(path: Path) -> CodeCache:
     """Return the cache in a file, empty if it is missing or of another Python."""
     try:
--- a/gentianworks/tests/test_generated.py
+++ b/gentianworks/tests/test_generated.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import traceback
 from pathlib import Path
 
-from attrs import frozen
+from attrs import field, frozen
 
 from gentianworks.generated import (
     CodeCache,
@@ -55,9 +56,7 @@
         assert load_code_cache(path).code_objects == {}
         path.write_bytes(b"other" * 9)
         assert load_code_cache(path).code_objects == {}
-        save_code_cache(
-            CodeCache({("<a>", "x = 1"): compile("x = 1", "<a>", "exec")}), path
-        )
+        save_code_cache(CodeCache({b"key": compile("x = 1", "<a>", "exec")}), path)
         path.write_bytes(path.read_bytes()[:-3])
         assert load_code_cache(path).code_objects == {}
 
@@ -67,3 +66,19 @@
             pass
         make_class()
         assert cache.compiled_count == 0
+
+    def test_an_exception_in_generated_code_can_be_logged(self) -> None:
+        # Guards against a traceback that can't be formatted without line numbers.
+        with use_code_cache(CodeCache()):
+
+            @frozen
+            class Named:
+                name: str = field(converter=int)
+
+        try:
+            Named("x")
+        except ValueError as error:
+            text = "".join(traceback.format_exception(error))
+        assert "attrs generated" in text
+        assert "__init__" in text
+        assert "ValueError" in text
