Share the representation and the field tuple of attrs classes

Within the context of the code cache the classes share one representation with the same result and one tuple class with access by name; a class whose field has the name of a tuple's attribute keeps its own.

--- a/gentianworks/generated.py
+++ b/gentianworks/generated.py
@@ -3,7 +3,8 @@
 attrs generates the source of a class's methods and compiles it when the class is
 created, which takes more than a third of the processor time of an import (0.18 of
 0.43 s). The build writes the compiled code to a file, and a process that finds the file
-compiles only sources that it lacks.
+compiles only sources that it lacks. To save memory, classes share what attrs would
+generate for each: the representation and the access to fields by name.
 
 `python -m gentianworks.generated FILE MODULE` writes the file for a module.
 """
@@ -20,10 +21,12 @@
 from importlib.util import MAGIC_NUMBER
 from pathlib import Path
 from types import CodeType
+from typing import Any
 
+import attr._compat
 import attr._make
 import xxhash
-from attrs import define, field
+from attrs import NOTHING, define, field, fields
 
 # Format of co_linetable: an entry has a flag, a kind (13 is a line without columns) and
 # the number of code units less one; the difference to the previous line follows.
@@ -96,15 +99,83 @@
     path.write_bytes(MAGIC_NUMBER + marshal.dumps(cache.code_objects))
 
 
+class FieldTuple(tuple[Any, ...]):
+    """Fields of an attrs class, which are also available by name.
+
+    attrs generates a class with a property for each field instead, which takes 2 KB
+    for each attrs class.
+    """
+
+    def __getattr__(self, name: str) -> Any:
+        """Return the field called `name`."""
+        for item in self:
+            if item.name == name:
+                return item
+        raise AttributeError(f"the class has no field {name!r}", name=name, obj=self)
+
+
+def choose_tuple_class(class_name: str, names: list[str]) -> type:
+    """Return the class for the fields of an attrs class."""
+    if any(hasattr(FieldTuple, name) for name in names):
+        return _make_tuple_class(class_name, names)
+    return FieldTuple
+
+
+def add_repr(builder: Any, namespace: str | None) -> Any:
+    """Give an attrs class the shared `__repr__` instead of a generated one.
+
+    The generated ones would be two fifths of all generated code.
+    """
+    if namespace is not None:
+        return _add_generated_repr(builder, namespace)
+    builder._cls_dict["__repr__"] = represent
+    builder._repr_added = True
+    return builder
+
+
+def represent(value: Any) -> str:
+    """Return the representation of an instance that attrs would generate."""
+    context = attr._compat.repr_context
+    present = vars(context).setdefault("already_repring", set())
+    if id(value) in present:
+        return "..."
+    present.add(id(value))
+    try:
+        parts = [
+            f"{item.name}={_represent_field(value, item)}"
+            for item in fields(type(value))
+            if item.repr is not False
+        ]
+    finally:
+        present.remove(id(value))
+    name = type(value).__qualname__.rsplit(">.", 1)[-1]
+    return f"{name}({', '.join(parts)})"
+
+
+def _represent_field(value: Any, item: Any) -> str:
+    content = getattr(value, item.name, *(() if item.init else (NOTHING,)))
+    text: str = repr(content) if item.repr is True else item.repr(content)
+    return text
+
+
+_make_tuple_class = attr._make._make_attr_tuple_class
+_add_generated_repr = attr._make._ClassBuilder.add_repr
+
+
 @contextmanager
 def use_code_cache(cache: CodeCache) -> Iterator[None]:
-    """Make attrs compile through a cache within the context."""
+    """Make attrs compile through a cache, and share code, within the context."""
     attrs_globals = vars(attr._make)
     attrs_globals["compile"] = cache.compile
+    attrs_globals["_make_attr_tuple_class"] = choose_tuple_class
+    builder: Any = attr._make._ClassBuilder
+    builder.add_repr = add_repr
     try:
         yield
     finally:
         del attrs_globals["compile"]
+        attrs_globals["_make_attr_tuple_class"] = _make_tuple_class
+        builder.add_repr = _add_generated_repr
 
 
 def main(path: Path, module: str) -> None:
--- a/gentianworks/tests/test_generated.py
+++ b/gentianworks/tests/test_generated.py
@@ -4,12 +4,15 @@
 
 import traceback
 from pathlib import Path
+from typing import Any
 
-from attrs import field, frozen
+from attrs import define, field, fields, frozen
 
 from gentianworks.generated import (
     CodeCache,
+    FieldTuple,
     load_code_cache,
+    represent,
     save_code_cache,
     use_code_cache,
 )
@@ -26,6 +29,58 @@
     return Point
 
 
+def make_various_classes() -> list[Any]:
+    """Return instances of classes with the kinds of fields that attrs supports."""
+
+    @define
+    class Node:
+        name: str
+        children: list[Any] = field(factory=list)
+        secret: str = field(default="s", repr=False)
+        size: int = field(default=3, repr=lambda size: f"<{size}>")
+        late: int = field(init=False)
+
+    @frozen
+    class Counts:
+        count: int = 1
+        index: int = 2
+        _hidden: int = 3
+
+    @frozen
+    class Derived(Counts):
+        more: int = 4
+
+    cyclic = Node("cyclic")
+    cyclic.children.append(cyclic)
+    complete = Node("complete", [Counts(), Derived()])
+    complete.late = 5
+    return [Node("a"), cyclic, complete, Counts(), Derived()]
+
+
+class TestSharedCode:
+    def test_representations_are_those_that_attrs_generates(self) -> None:
+        expected = [repr(item) for item in make_various_classes()]
+        with use_code_cache(CodeCache()):
+            items = make_various_classes()
+        assert [repr(item) for item in items] == expected
+
+    def test_fields_are_available_by_name_and_position(self) -> None:
+        # The names `count` and `index` are also those of methods of tuples.
+        with use_code_cache(CodeCache()):
+            items = make_various_classes()
+        for item in items:
+            found = fields(type(item))
+            assert [getattr(found, each.name) for each in found] == list(found)
+            assert not hasattr(found, "missing")
+
+    def test_attrs_is_unchanged_after_the_context(self) -> None:
+        with use_code_cache(CodeCache()):
+            pass
+        item = make_various_classes()[0]
+        assert type(fields(type(item))) is not FieldTuple
+        assert type(item).__repr__ is not represent
+
+
 class TestCodeCache:
     def test_second_start_compiles_nothing(self, tmp_path: Path) -> None:
         path = tmp_path / "codes"
