Defer the own code of expression.core

Result needs five of its modules; the mailbox, the sequences and the builders were imported with it. A package that is deferred no longer lets a module take the place of a function of the same name.

--- a/gentianworks/imports.py
+++ b/gentianworks/imports.py
@@ -30,6 +30,13 @@
         "Ok": "expression.core.result",
         "Result": "expression.core.result",
     },
+    # Functions that have the names of their modules.
+    "expression.core": {
+        "compose": "expression.core.compose",
+        "curry": "expression.core.curry",
+        "pipe": "expression.core.pipe",
+        "tagged_union": "expression.core.tagged_union",
+    },
     "uvicorn": {
         "Config": "uvicorn.config",
         "Server": "uvicorn.server",
@@ -59,11 +66,16 @@
         if spec is None or spec.loader is None:
             raise ModuleNotFoundError(f"No module named {name!r}", name=name)
         super().__init__(name)
+        vars(self)["_module_of_name"] = names
         self.__spec__ = spec
         self.__loader__ = spec.loader
         self.__file__ = spec.origin
         self.__path__ = list(spec.submodule_search_locations or ())
-        self._module_of_name = names
+
+    def __setattr__(self, name: str, value: Any) -> None:
+        """Set an attribute, unless a module would take the place of a listed name."""
+        if not (isinstance(value, ModuleType) and name in self._module_of_name):
+            super().__setattr__(name, value)
 
     def __getattr__(self, name: str) -> Any:
         """Return a listed name, or one that the package's own code defines."""
--- a/gentianworks/tests/test_imports.py
+++ b/gentianworks/tests/test_imports.py
@@ -18,6 +18,7 @@
     "click",
     "configparser",
     "expression.collections",
+    "expression.core.mailbox",
     "expression.effect",
     "gentianworks.ini_folder",
     "logging.config",
@@ -101,6 +102,19 @@
         )
         assert output == "True"
 
+    def test_a_function_is_not_replaced_by_its_module(self) -> None:
+        # Guards against functions that are hidden by modules of the same name.
+        output = run_python(
+            "from gentianworks.imports import defer_packages\n"
+            "defer_packages()\n"
+            "from expression import Ok\n"
+            "from expression.core import curry, pipe, option\n"
+            "import expression\n"
+            "print(callable(curry), callable(pipe), option.Some is expression.Some)\n"
+            "print(callable(expression.compose), callable(expression.tagged_union))"
+        )
+        assert set(output.split()) == {"True"}
+
 
 class TestOmitUnusedModules:
     def test_the_modules_can_be_imported_afterwards(self) -> None:
