Defer the summary metric with the other classes of aioprometheus

The metric of the estimate's error imports Summary, which a deferred package didn't list, so its whole code was loaded; test_imports failed after the merge of both.

--- a/gentianworks/imports.py
+++ b/gentianworks/imports.py
@@ -23,6 +23,7 @@
         "Gauge": "aioprometheus.collectors",
         "Histogram": "aioprometheus.collectors",
         "Registry": "aioprometheus.collectors",
+        "Summary": "aioprometheus.collectors",
         "render": "aioprometheus.renderer",
     },
     "expression": {
