Bound what clients make a process hold

Bodies were copied when they were read and again when they were sent.

Change: one protocol (web/intake.py) serves all listeners of the platform and the product's own front end. A budget per process (web/memory.py), derived from memoryMb, is reserved before a body is read; requests without room get 503, too large ones 413, stalled ones 408, connections beyond a share of maxFds 503. Parsing takes turns. Bodies are joined once and are sent to replicas piece by piece.

--- /dev/null
+++ b/gentianworks/platform/intakes.py
@@ -0,0 +1,68 @@
+"""Intakes: limits of the servers of a process, from settings and configuration."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from attrs import Factory, define, field
+
+from gentianworks.core.gateway.route_table import RequestLimits
+from gentianworks.platform.applications import MAX_CONFIGURATION_BYTES
+from gentianworks.platform.calls import encode_problem
+from gentianworks.platform.settings import MachineSettings
+from gentianworks.process import Process
+from gentianworks.web.intake import ClientLimits, Intake
+from gentianworks.web.memory import ClientMemory, compute_budget
+from gentianworks.web.turns import TurnQueue
+
+# Replicas, peers, files and the other servers need the rest.
+CLIENT_DESCRIPTORS = 0.375  # of the descriptors of a process
+OTHER_DESCRIPTORS = 0.0625  # each for operators, readiness checks and metrics
+
+
+@define
+class Intakes:
+    """Limits of the servers of a process, which share one budget of memory."""
+
+    process: Process
+    settings: MachineSettings
+    memory: ClientMemory = field(
+        default=Factory(lambda self: self._create_memory(), takes_self=True)
+    )
+    turns: TurnQueue = field(factory=TurnQueue)
+
+    def __attrs_post_init__(self) -> None:
+        """Let the metrics find the budget."""
+        self.process.add_adapter(self.memory)
+
+    def create(self, address: str) -> Intake:
+        """Return the limits of the server at an address."""
+        fraction = OTHER_DESCRIPTORS
+        get_limits: Callable[[], ClientLimits] = ClientLimits
+        if address == self.settings.client_address:
+            fraction, get_limits = CLIENT_DESCRIPTORS, self._get_client_limits
+        elif address == self.settings.configuration_address:
+            get_limits = _get_operator_limits
+        return Intake(
+            memory=self.memory,
+            get_limits=get_limits,
+            max_connections=int(self.settings.descriptor_limit * fraction),
+            encode=encode_problem,
+            turns=self.turns,
+        )
+
+    def _create_memory(self) -> ClientMemory:
+        answers = self.process.outbox_memory.limit_bytes
+        return ClientMemory(compute_budget(self.settings.memory_limit, answers))
+
+    def _get_client_limits(self) -> ClientLimits:
+        gateway = self.process.state.gateway
+        table = gateway.table if gateway else None
+        limits = table.limits if table else RequestLimits()
+        return ClientLimits(
+            limits.body_bytes, limits.header_timeout, limits.idle_timeout
+        )
+
+
+def _get_operator_limits() -> ClientLimits:
+    return ClientLimits(body_bytes=MAX_CONFIGURATION_BYTES)
--- a/gentianworks/platform/runner.py
+++ b/gentianworks/platform/runner.py
@@ -37,6 +37,7 @@
     decode_document,
     decode_table,
 )
+from gentianworks.platform.intakes import Intakes
 from gentianworks.platform.replica_listing import ListingClient
 from gentianworks.platform.replicas import ReplicaClient
 from gentianworks.platform.settings import (
@@ -102,8 +103,9 @@
         process = Process(state=state, tasks=tasks, outbox_memory=memory)
         process.add_adapter(peers)
         process.add_adapter(Metrics())
+        intakes = Intakes(process, settings)
         servers = {
-            address: create_server(application, address)
+            address: create_server(application, address, intake=intakes.create(address))
             for application, address in _create_applications(role, settings, process)
         }
         process.start_task(partial(peers.receive, process))
--- a/gentianworks/platform/settings.py
+++ b/gentianworks/platform/settings.py
@@ -12,6 +12,7 @@
 SETTINGS_VARIABLE = "GENTIANWORKS_BOOT"
 # The deploy file declares the same ports to the platform.
 METRICS_PORTS = {"router": 9461, "control": 9462}
+DEFAULT_DESCRIPTORS = 4096  # where the settings have no maxFds
 PEER_PORT_OFFSETS = {"router": 0, "control": 1}  # offsets into the internal ports
 
 
@@ -42,6 +43,7 @@
     listing_address: str  # IP:PORT of the list of replicas
     listing_rate: float  # requests per second by the whole fleet
     memory_limit: int  # bytes, over which the process is killed; 0 if there is none
+    descriptor_limit: int  # open files and sockets of a process
 
     def build_metrics_address(self, role: str) -> str:
         """Return the IP:PORT of a role's metrics."""
@@ -77,6 +79,7 @@
     listen = document.get("listen", {})
     bounds = document.get("bounds", {})
     cloud = document.get("cloud", {})
+    limits = document.get("limits", {})
     first_port, last_port = document["internalPorts"]
     return MachineSettings(
         machine=str(document["node"]),
@@ -96,7 +99,8 @@
         retry_slack=float(bounds.get("budgetSlack", 0)),
         listing_address=str(cloud.get("address", "")),
         listing_rate=_read_rate(cloud),
-        memory_limit=int(document.get("limits", {}).get("memoryMb", 0)) * MEBIBYTE,
+        memory_limit=int(limits.get("memoryMb", 0)) * MEBIBYTE,
+        descriptor_limit=int(limits.get("maxFds", DEFAULT_DESCRIPTORS)),
     )
 
 
--- a/gentianworks/telemetry/log.py
+++ b/gentianworks/telemetry/log.py
@@ -238,6 +238,15 @@
             "A reopened availability zone gets calls without a newer list.",
             "Check that a control host leads and reaches the platform.",
         ),
+        CatalogueEntry(
+            "GW5145", "A request was refused, since requests use too much memory."
+        ),
+        CatalogueEntry("GW5146", "A request with too large a body was refused."),
+        CatalogueEntry("GW5147", "A request that arrived too slowly was ended."),
+        CatalogueEntry("GW5148", "A connection was refused, since there are too many."),
+        CatalogueEntry(
+            "GW5149", "An idle connection was closed, since there are too many."
+        ),
         CatalogueEntry("GW5113", "A leader's list of replicas has taken effect."),
         CatalogueEntry(
             "GW5114",
--- a/gentianworks/telemetry/metrics.py
+++ b/gentianworks/telemetry/metrics.py
@@ -28,6 +28,7 @@
 from gentianworks.peers.sockets import PeerSockets
 from gentianworks.process import Process, contain_failure, perform
 from gentianworks.telemetry.labels import OTHER, LabelLimiter
+from gentianworks.web.memory import ClientMemory
 
 LATENCY_BUCKETS = (0.01, 0.05, 0.1, 0.25, 0.5, 0.7, 1, 2, 5, 10, 30, 120, float("inf"))
 
@@ -137,6 +138,14 @@
             "evacuated_zones",
             "Availability zones that get no new calls, as known to this process.",
         )
+        self.client_memory = self._add(
+            Gauge,
+            "client_memory_bytes",
+            "Memory reserved for requests of clients, and the most that may be.",
+        )
+        self.refused_clients = self._add(
+            Counter, "refused_clients_total", "Requests and connections, by cause."
+        )
         self.ledger_keys = self._add(
             Gauge, "ledger_keys", "Keys that this host's ledger holds, by status."
         )
@@ -157,6 +166,8 @@
         self._set_state_metrics(process.state, now)
         self._set_peer_metrics(process.get_adapter(PeerSockets))
         self.queued_answers.set({}, process.outbox_memory.queued_bytes)
+        if ClientMemory in process.adapters:
+            self._set_client_metrics(process.get_adapter(ClientMemory))
         content, headers = render(self.registry, accepts)
         return content, headers["Content-Type"]
 
@@ -244,6 +255,12 @@
         for status in ClaimStatus:
             self.ledger_keys.set({"status": status.value}, counts[status])
 
+    def _set_client_metrics(self, memory: ClientMemory) -> None:
+        self.client_memory.set({"state": "used"}, memory.used_bytes)
+        self.client_memory.set({"state": "limit"}, memory.limit_bytes)
+        for cause, count in memory.refusals.items():
+            self.refused_clients.set({"cause": cause.value}, count)
+
     def _set_peer_metrics(self, peers: PeerSockets) -> None:
         for direction, traffic in (("sent", peers.sent), ("received", peers.received)):
             self.control_bytes.set({"direction": direction}, traffic.total)
--- a/gentianworks/web/callers.py
+++ b/gentianworks/web/callers.py
@@ -2,11 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
-
 import anyio
-from attrs import Factory, define, field
+from attrs import define, field
 from expression import Error, Ok, Result
 
 from gentianworks.codecs.requests import RawRequest, decode_request
@@ -29,8 +26,6 @@
     send_response,
 )
 
-RETRY_AFTER = 1.0  # seconds
-
 
 def decode_headers(scope: Scope) -> tuple[Header, ...]:
     """Return the headers of an ASGI request."""
@@ -40,45 +35,12 @@
     )
 
 
-@define
-class BodyBudget:
-    """Limit on the memory of all request bodies, including incomplete ones."""
-
-    limit_bytes: int
-    used_bytes: int = 0
-
-    @contextmanager
-    def open_reservation(self) -> Iterator[Callable[[int], bool]]:
-        """Yield a function that reserves memory for one body.
-
-        The function takes a size in bytes and returns False if the limit would be
-        exceeded. All reservations are released at the end of the context.
-        """
-        reserved_bytes = 0
-
-        def reserve(size: int) -> bool:
-            nonlocal reserved_bytes
-            if self.used_bytes + size > self.limit_bytes:
-                return False
-            self.used_bytes += size
-            reserved_bytes += size
-            return True
-
-        try:
-            yield reserve
-        finally:
-            self.used_bytes -= reserved_bytes
-
-
 @define
 class CallerApplication:
     """ASGI application for callers; each request becomes an exchange."""
 
     process: Process
     limits: LimitSettings = field(factory=LimitSettings)
-    body_budget: BodyBudget = field(
-        default=Factory(lambda self: BodyBudget(self.limits.buffered_bytes), True)
-    )
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request."""
@@ -97,19 +59,16 @@
         await send_response(send, 200 if is_ready else 503, [], body)
 
     async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
-        with self.body_budget.open_reservation() as reserve:
-            match await self._read(receive, reserve):
-                case Result(tag="ok", ok=body):
-                    await self._answer(_build_raw_request(scope, body), receive, send)
-                case Result(error=problem) if problem is not None:
-                    await send_problem(problem, send, closes=True)
+        match await self._read(receive):
+            case Result(tag="ok", ok=body):
+                await self._answer(_build_raw_request(scope, body), receive, send)
+            case Result(error=problem) if problem is not None:
+                await send_problem(problem, send, closes=True)
 
-    async def _read(
-        self, receive: Receive, reserve: Callable[[int], bool]
-    ) -> Result[bytes, Problem | None]:
+    async def _read(self, receive: Receive) -> Result[bytes, Problem | None]:
         """Return the body of a request, or a problem (None for a lost connection)."""
         with anyio.move_on_after(self.limits.body_timeout):
-            match await read_body(receive, self.limits.body_bytes, reserve):
+            match await read_body(receive, self.limits.body_bytes):
                 case Result(tag="ok", ok=body):
                     return Ok(body)
                 case Result(error=BodyFailure.TOO_LARGE):
@@ -119,8 +78,6 @@
                             ProblemKind.BODY_TOO_LARGE, f"{detail}send a smaller one."
                         )
                     )
-                case Result(error=BodyFailure.OVER_BUDGET):
-                    return Error(_create_memory_problem())
                 case _:
                     return Error(None)
         return Error(
@@ -147,14 +104,6 @@
         await events.run(writer, write_part, self.process, receive)
 
 
-def _create_memory_problem() -> Problem:
-    return Problem(
-        ProblemKind.OVERLOADED,
-        "The request bodies in this router use too much memory; retry later.",
-        retry_after=RETRY_AFTER,
-    )
-
-
 def encode_target(scope: Scope) -> str:
     """Return the path and query of an ASGI request without decoding them."""
     target: str = scope["raw_path"].decode("latin-1")
--- a/gentianworks/web/connections.py
+++ b/gentianworks/web/connections.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import socket
+from collections import deque
 from collections.abc import Callable, Iterable
 from enum import Enum
 from functools import cached_property
@@ -31,6 +32,7 @@
 MAX_SKIPPED_RESPONSES = 4  # to earlier requests, before the response to this one
 MAX_SKIPPED_BYTES = 256 * 1024
 MAX_EVENTS_PER_TURN = 128  # of the parser; about a millisecond of the event loop
+UNSENT_BYTES = 64 * 1024  # of a body that the transport may hold
 READ_BYTES = 16 * 1024  # at once; bounds what a connection holds and parses in a turn
 BUSY_READ_BYTES = 1024  # at once, after a turn with many events
 MAX_REQUESTS = 256  # per connection; bounds the keys that it remembers
@@ -122,6 +124,8 @@
         self._http = h11.Connection(h11.CLIENT)
         self._receiver: ResponseReceiver | None = None
         self._request: tuple[RequestHead, bytes] | None = None
+        self._unsent: deque[memoryview] = deque()  # parts of a large body
+        self._is_write_paused = False
         self._is_skipping = False
         self._is_trusted = True  # all bytes so far belong to the requests sent
         self._interim_count = 0
@@ -175,11 +179,36 @@
         self._is_busy = False
         self._receiver = receiver
         self._request = (head, body)
-        self._transport.write(b"".join(_encode_request(self._http, head, body)))
+        parts = _encode_request(self._http, head, body)
+        if len(body) <= UNSENT_BYTES:
+            self._transport.write(b"".join(parts))
+            return
+        self._transport.write(parts[0])
+        self._unsent.extend(memoryview(part) for part in parts[1:] if part)
+        self._send_more()
+
+    def _send_more(self) -> None:
+        """Write as much of a large body as the transport takes without a copy of it."""
+        assert self._transport is not None
+        while self._unsent and not self._is_write_paused:
+            part = self._unsent.popleft()
+            if len(part) > UNSENT_BYTES:
+                self._unsent.appendleft(part[UNSENT_BYTES:])
+            self._transport.write(part[:UNSENT_BYTES])
+
+    def pause_writing(self) -> None:
+        """Write nothing more of a large body until the transport has sent the rest."""
+        self._is_write_paused = True
+
+    def resume_writing(self) -> None:
+        """Continue to write a large body."""
+        self._is_write_paused = False
+        self._send_more()
 
     def abort(self) -> None:
         """Close the connection immediately, without a further call of the receiver."""
         self._receiver = None
+        self._unsent.clear()
         if self._transport is not None:
             self._transport.abort()
 
@@ -356,6 +385,7 @@
         is_reusable = (
             self._is_trusted
             and not self._is_paused
+            and not self._unsent
             and len(self._sent_keys) < MAX_REQUESTS
             and not remaining
             and not is_closed
@@ -378,6 +408,7 @@
 
     def _fail(self, failure: ConnectionFailure, detail: str) -> None:
         receiver, self._receiver = self._receiver, None
+        self._unsent.clear()
         if self._transport is not None:
             self._transport.abort()
         if receiver is not None:
--- a/gentianworks/web/server.py
+++ b/gentianworks/web/server.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
+import os
 import socket
 from collections.abc import Awaitable, Callable, Iterator, MutableMapping
 from contextlib import contextmanager
@@ -12,14 +12,12 @@
 from typing import Any
 
 import anyio
-import h11
 import uvicorn
 from expression import Error, Ok, Result
-from uvicorn.protocols.http.h11_impl import H11Protocol
 
-from gentianworks.codecs.problems import encode_problem
-from gentianworks.core.types import Header, Problem, ProblemKind
 from gentianworks.limits import LimitSettings
+from gentianworks.web.intake import BoundedProtocol, ClientLimits, Intake
+from gentianworks.web.memory import ClientMemory
 
 Scope = MutableMapping[str, Any]
 Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
@@ -31,7 +29,9 @@
 SHUTDOWN_TIMEOUT = 60  # seconds
 LATE_REQUEST_TIMEOUT = 1.0  # seconds
 BACKLOG_CONNECTIONS = 4096
-RETRY_AFTER = 1.0  # seconds
+# Connections that are accepted in one turn of the event loop, before any is counted.
+ACCEPTED_AT_ONCE = 32
+PIECE_BYTES = 64 * 1024  # of a body
 HTTP_PROTOCOL = "h11"
 
 
@@ -55,6 +55,14 @@
     def capture_signals(self) -> Iterator[None]:
         yield
 
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        """Start, with a backlog longer than what is accepted at once."""
+        await super().startup(sockets)
+        for server in getattr(self, "servers", []):
+            for item in server.sockets:
+                with socket.socket(fileno=os.dup(item.fileno())) as listener:
+                    listener.listen(BACKLOG_CONNECTIONS)
+
     async def shutdown(self, sockets: list[socket.socket] | None = None) -> None:
         """Shut down, and also close connections that were accepted in the meantime."""
         async with anyio.create_task_group() as tasks:
@@ -77,85 +85,22 @@
                 await self._stopping.wait()
 
 
-class _Protocol(H11Protocol):
-    """HTTP protocol with a limit on connections and on the time for request heads."""
-
-    def __init__(
-        self, *, header_timeout: float, max_connections: int, **options: Any
-    ) -> None:
-        super().__init__(**options)
-        self._header_timeout = header_timeout
-        self._max_connections = max_connections
-        self._header_timer: asyncio.TimerHandle | None = None
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        super().connection_made(transport)  # type: ignore[arg-type]
-        if len(self.connections) > self._max_connections:
-            self.app = refuse_connection
-        self._start_header_timer()
-
-    def data_received(self, data: bytes) -> None:
-        super().data_received(data)
-        if self.conn.their_state is h11.IDLE:
-            self._start_header_timer()
-        else:
-            self._stop_header_timer()
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self._stop_header_timer()
-        super().connection_lost(exc)
-
-    def _start_header_timer(self) -> None:
-        if self._header_timer is None:
-            self._header_timer = self.loop.call_later(
-                self._header_timeout, self._refuse_slow_head
-            )
-
-    def _stop_header_timer(self) -> None:
-        if self._header_timer is not None:
-            self._header_timer.cancel()
-            self._header_timer = None
-
-    def _refuse_slow_head(self) -> None:
-        self._header_timer = None
-        if self.transport.is_closing() or self.conn.their_state is not h11.IDLE:
-            return
-        if self.conn.our_state is not h11.IDLE:
-            self.transport.close()
-            return
-        self.send_400_response(
-            f"The request head was incomplete after {self._header_timeout:g} s; "
-            f"send it faster."
-        )
-
-    def send_400_response(self, msg: str) -> None:
-        answer = encode_problem(Problem(ProblemKind.BAD_REQUEST, msg))
-        headers = [(item.name, item.value) for item in answer.headers]
-        length = ("content-length", str(len(answer.body)))
-        head = h11.Response(
-            status_code=answer.status,
-            headers=[*headers, length, ("connection", "close")],
-        )
-        for event in (head, h11.Data(data=answer.body), h11.EndOfMessage()):
-            self.transport.write(self.conn.send(event) or b"")
-        self.transport.close()
-
-
 def create_server(
-    application: Application, address: str, limits: LimitSettings | None = None
+    application: Application,
+    address: str,
+    limits: LimitSettings | None = None,
+    intake: Intake | None = None,
 ) -> Server:
     """Return a server for `application` at an address such as 127.0.0.1:8000.
 
-    `limits` are given only for servers that callers connect to.
+    `limits` or `intake` are given only for servers that clients connect to.
     """
     host, _, port = address.rpartition(":")
+    if intake is None and limits is not None:
+        intake = create_intake(limits, ClientMemory(limits.buffered_bytes))
     protocol: Any = HTTP_PROTOCOL
-    if limits is not None:
-        protocol = partial(
-            _Protocol,
-            header_timeout=limits.header_timeout,
-            max_connections=limits.connections,
-        )
+    if intake is not None:
+        protocol = partial(BoundedProtocol, intake=intake)
     applied_limits = limits or LimitSettings()
     config = uvicorn.Config(
         _catch_exceptions(application),
@@ -167,7 +112,7 @@
         log_config=None,
         access_log=False,
         server_header=False,
-        backlog=BACKLOG_CONNECTIONS,
+        backlog=ACCEPTED_AT_ONCE if intake is not None else BACKLOG_CONNECTIONS,
         timeout_keep_alive=KEEP_ALIVE_TIMEOUT,
         timeout_graceful_shutdown=SHUTDOWN_TIMEOUT,
         h11_max_incomplete_event_size=applied_limits.header_bytes,
@@ -175,6 +120,14 @@
     return Server(config)
 
 
+def create_intake(limits: LimitSettings, memory: ClientMemory) -> Intake:
+    """Return the intake of a server with limits from its settings."""
+    client_limits = ClientLimits(
+        limits.body_bytes, limits.header_timeout, limits.header_timeout
+    )
+    return Intake(memory, lambda: client_limits, limits.connections)
+
+
 def _catch_exceptions(application: Application) -> Application:
     """Return an application whose exceptions are logged and end only one answer."""
 
@@ -188,50 +141,39 @@
     return serve
 
 
-async def refuse_connection(scope: Scope, receive: Receive, send: Send) -> None:
-    """Refuse a request on a connection that exceeds the limit."""
-    answer = encode_problem(
-        Problem(
-            ProblemKind.OVERLOADED,
-            "This router has too many connections; retry later.",
-            retry_after=RETRY_AFTER,
-        )
-    )
-    length = Header("content-length", str(len(answer.body)))
-    sent = (*answer.headers, length, Header("connection", "close"))
-    headers = [(item.name.encode(), item.value.encode()) for item in sent]
-    await send_response(send, answer.status, headers, answer.body)
-
-
 class BodyFailure(Enum):
     """Reason for which the body of a request is unavailable."""
 
     DISCONNECTED = "disconnected"
     TOO_LARGE = "too-large"
-    OVER_BUDGET = "no-room"
 
 
-async def read_body(
-    receive: Receive, max_bytes: int, reserve: Callable[[int], bool] | None = None
-) -> Result[bytes, BodyFailure]:
+async def read_body(receive: Receive, max_bytes: int) -> Result[bytes, BodyFailure]:
     """Return the complete body of a request, or the reason for which it is unavailable.
 
-    `reserve` is called with the size of each part, in bytes, and returns whether
-    there is memory for it.
+    Pieces are joined once at the end: a buffer that grows is copied over and over, and
+    what the copies leave behind is not returned to the system.
     """
-    body = bytearray()
+    pieces: list[bytes] = []
+    last = bytearray()
+    size = 0
     while True:
         part = await receive()
         if part["type"] == "http.disconnect":
             return Error(BodyFailure.DISCONNECTED)
         data = part.get("body", b"")
-        if reserve is not None and not reserve(len(data)):
-            return Error(BodyFailure.OVER_BUDGET)
-        body += data
-        if len(body) > max_bytes:
+        size += len(data)
+        if size > max_bytes:
             return Error(BodyFailure.TOO_LARGE)
+        if len(data) >= PIECE_BYTES and not last:
+            pieces.append(data)
+        else:
+            last += data
+        if len(last) >= PIECE_BYTES:
+            pieces.append(bytes(last))
+            last = bytearray()
         if not part.get("more_body", False):
-            return Ok(bytes(body))
+            return Ok(b"".join([*pieces, last]))
 
 
 async def wait_for_disconnect(receive: Receive) -> None:
