Bound the idle connections to replicas and let refusals be read

Cause: a connection to a replica is not used again for a request id that it has carried. Clients that repeat an id left any number of idle connections: 429 descriptors with 120 clients and 64 requests each. A connection that closed with input unread was reset before its client could read the problem.

Change: the pool closes the oldest idle connections beyond an eighth of maxFds. The product's own front end counts only bodies and input against buffered_bytes, not connections.

--- a/gentianworks/platform/intakes.py
+++ b/gentianworks/platform/intakes.py
@@ -15,9 +15,16 @@
 from gentianworks.web.memory import ClientMemory, compute_budget
 from gentianworks.web.turns import TurnQueue
 
-# Replicas, peers, files and the other servers need the rest.
-CLIENT_DESCRIPTORS = 0.375  # of the descriptors of a process
+# Shares of the descriptors of a process. Each client may have a call at a replica, so
+# clients and their calls take half; peers and files need what is left.
+CLIENT_DESCRIPTORS = 0.25
 OTHER_DESCRIPTORS = 0.0625  # each for operators, readiness checks and metrics
+IDLE_REPLICA_DESCRIPTORS = 0.125
+
+
+def compute_idle_limit(settings: MachineSettings) -> int:
+    """Return how many idle connections to replicas a process keeps."""
+    return int(settings.descriptor_limit * IDLE_REPLICA_DESCRIPTORS)
 
 
 @define
--- a/gentianworks/platform/runner.py
+++ b/gentianworks/platform/runner.py
@@ -37,7 +37,7 @@
     decode_document,
     decode_table,
 )
-from gentianworks.platform.intakes import Intakes
+from gentianworks.platform.intakes import Intakes, compute_idle_limit
 from gentianworks.platform.replica_listing import ListingClient
 from gentianworks.platform.replicas import ReplicaClient
 from gentianworks.platform.settings import (
@@ -56,6 +56,7 @@
 from gentianworks.storage.store import OpenedStore
 from gentianworks.telemetry.log import configure_logging
 from gentianworks.telemetry.metrics import Metrics
+from gentianworks.web.connections import ConnectionPool
 from gentianworks.web.metrics import MetricsApplication, answer_not_found
 from gentianworks.web.server import Application, Server, create_server
 
@@ -200,7 +201,8 @@
             (ConfigurationApplication(process), settings.configuration_address),
             metrics,
         ]
-    process.add_adapter(ReplicaClient())
+    pool = ConnectionPool(compute_idle_limit(settings))
+    process.add_adapter(ReplicaClient(pool))
     return [
         (ClientApplication(process), settings.client_address),
         (ReadinessApplication(process), settings.readiness_address),
--- a/gentianworks/web/connections.py
+++ b/gentianworks/web/connections.py
@@ -35,6 +35,7 @@
 UNSENT_BYTES = 64 * 1024  # of a body that the transport may hold
 READ_BYTES = 16 * 1024  # at once; bounds what a connection holds and parses in a turn
 BUSY_READ_BYTES = 1024  # at once, after a turn with many events
+DEFAULT_MAX_IDLE = 512  # connections of a process
 MAX_REQUESTS = 256  # per connection; bounds the keys that it remembers
 CAREFUL_IDLE_FRACTION = 0.5  # of the idle limit; for requests that can't be repeated
 
@@ -451,8 +452,13 @@
 
 @define
 class ConnectionPool:
-    """Pool of idle connections by address."""
+    """Pool of idle connections by address, of which the oldest are closed first.
 
+    A connection is not used twice for requests with the same key, so clients that
+    repeat a key could otherwise leave any number of idle connections.
+    """
+
+    max_idle: int = DEFAULT_MAX_IDLE
     _idle: dict[str, list[Connection]] = field(factory=dict)
     _turns: TurnQueue = field(factory=TurnQueue)
 
@@ -485,6 +491,7 @@
         def release(connection: Connection) -> None:
             connection.idle_since = loop.time()
             self._idle.setdefault(address, []).append(connection)
+            self._close_excess()
 
         async with asyncio.timeout(CONNECT_TIMEOUT):
             _, connection = await loop.create_connection(
@@ -492,6 +499,13 @@
             )
         return connection
 
+    def _close_excess(self) -> None:
+        count = sum(len(idle) for idle in self._idle.values())
+        if count <= self.max_idle:
+            return
+        queues = [idle for idle in self._idle.values() if idle]
+        min(queues, key=lambda idle: idle[0].idle_since).pop(0).abort()
+
     async def open_idle(self, address: str) -> None:
         """Open a connection for later use; raises OSError or TimeoutError."""
         connection = await self.connect(address)
--- a/gentianworks/web/intake.py
+++ b/gentianworks/web/intake.py
@@ -50,6 +50,7 @@
     memory: ClientMemory = field(factory=ClientMemory)
     get_limits: Callable[[], ClientLimits] = ClientLimits
     max_connections: int = 512
+    connection_bytes: int = CONNECTION_BYTES
     encode: Callable[[Problem], Any] = encode_problem
     turns: TurnQueue = field(factory=TurnQueue)
     lingering: int = 0
@@ -152,7 +153,7 @@
         self._idle_since = self.loop.time()
         if len(self.connections) > self._intake.max_connections:
             self._make_room()
-        elif not self._held.extend(CONNECTION_BYTES):
+        elif not self._held.extend(self._intake.connection_bytes):
             self._refuse(_describe_memory())
         else:
             self._expect(self._intake.get_limits().idle_timeout)
@@ -233,6 +234,8 @@
             return
         self._parser.remaining_events = MAX_EVENTS_PER_TURN
         super().handle_events()
+        if self._is_refused:
+            return
         if self._parser.refusal is not None:
             self._refuse(self._parser.refusal)
         elif self.transport.is_closing():
@@ -240,7 +243,8 @@
         elif self._parser.remaining_events == 0:
             self._is_busy = True
             self._queue()
-        size = min(CONNECTION_BYTES + self._parser.buffered_bytes, SMALL_BODY_BYTES)
+        size = self._intake.connection_bytes + self._parser.buffered_bytes
+        size = min(size, SMALL_BODY_BYTES)
         if not self._held.extend(size) and not self._is_refused:
             self._refuse(_describe_memory())
         self._watch_progress()
@@ -370,6 +374,11 @@
             self.transport.abort()
             return
         self._write_refusal(refusal)
+        self._linger()
+
+    def _linger(self) -> None:
+        """Close the connection once a client has had time to read a refusal."""
+        self._parser.discard()
         if self._intake.lingering >= MAX_LINGERING + self._intake.max_connections // 4:
             self.transport.close()
             return
@@ -398,7 +407,10 @@
         self._write_refusal(
             _Refusal(RefusalCause.SIZE, Problem(ProblemKind.BAD_REQUEST, msg))
         )
-        self.transport.close()
+        if self.cycle is not None and not self.cycle.response_complete:
+            self.cycle.disconnected = True
+            self.cycle.message_event.set()
+        self._linger()
 
     async def _serve(self, scope: Any, receive: Any, send: Any) -> None:
         """Pass a request on; its memory is released when it has ended."""
--- a/gentianworks/web/server.py
+++ b/gentianworks/web/server.py
@@ -125,7 +125,8 @@
     client_limits = ClientLimits(
         limits.body_bytes, limits.header_timeout, limits.header_timeout
     )
-    return Intake(memory, lambda: client_limits, limits.connections)
+    # `buffered_bytes` is for bodies; `connections` bounds the rest.
+    return Intake(memory, lambda: client_limits, limits.connections, connection_bytes=0)
 
 
 def _catch_exceptions(application: Application) -> Application:
