--- a/gentianworks/limits.py
+++ b/gentianworks/limits.py
@@ -21,13 +21,17 @@
         "Maximum size of a request body, in bytes.", 4 * MEBIBYTE
     )
     buffered_bytes: int = _define_setting(
-        "Maximum total size of buffered request bodies, in bytes.", 64 * MEBIBYTE
+        "Maximum total size of buffered request bodies, in bytes. A quarter is kept "
+        "for bodies up to 64 KiB.",
+        64 * MEBIBYTE,
     )
     header_bytes: int = _define_setting(
         "Maximum size of a request head, in bytes.", 32 * 1024
     )
     header_timeout: float = _define_setting(
-        "Timeout for receiving the request head, in seconds.", 10.0
+        "Timeout for receiving the request head, and for a body that does not grow, "
+        "in seconds.",
+        10.0,
     )
     body_timeout: float = _define_setting(
         "Timeout for receiving the request body, in seconds.", 30.0
--- a/gentianworks/platform/intakes.py
+++ b/gentianworks/platform/intakes.py
@@ -7,7 +7,7 @@
 from attrs import Factory, define, field
 
 from gentianworks.core.gateway.route_table import RequestLimits
-from gentianworks.platform.applications import MAX_CONFIGURATION_BYTES
+from gentianworks.platform.applications import EVACUATION_PATH, MAX_CONFIGURATION_BYTES
 from gentianworks.platform.calls import encode_problem
 from gentianworks.platform.settings import MachineSettings
 from gentianworks.process import Process
@@ -44,18 +44,20 @@
 
     def create(self, address: str) -> Intake:
         """Return the limits of the server at an address."""
-        fraction = OTHER_DESCRIPTORS
+        fraction, bodiless_prefix = OTHER_DESCRIPTORS, b""
         get_limits: Callable[[], ClientLimits] = ClientLimits
         if address == self.settings.client_address:
             fraction, get_limits = CLIENT_DESCRIPTORS, self._get_client_limits
         elif address == self.settings.configuration_address:
             get_limits = _get_operator_limits
+            bodiless_prefix = EVACUATION_PATH.encode()
         return Intake(
             memory=self.memory,
             get_limits=get_limits,
             max_connections=int(self.settings.descriptor_limit * fraction),
             encode=encode_problem,
             turns=self.turns,
+            bodiless_prefix=bodiless_prefix,
         )
 
     def _create_memory(self) -> ClientMemory:
--- a/gentianworks/web/intake.py
+++ b/gentianworks/web/intake.py
@@ -51,6 +51,8 @@
     get_limits: Callable[[], ClientLimits] = ClientLimits
     max_connections: int = 512
     connection_bytes: int = CONNECTION_BYTES
+    # Start of the targets whose bodies are ignored, and so refused for no size.
+    bodiless_prefix: bytes = b""
     encode: Callable[[Problem], Any] = encode_problem
     turns: TurnQueue = field(factory=TurnQueue)
     lingering: int = 0
@@ -134,6 +136,7 @@
         self._body_bytes = 0  # of the body so far
         self._wire_bytes = 0  # received for the request, with the framing of chunks
         self._is_chunked = False
+        self._ignores_body = False
         self._head_bytes = 0
         self._is_busy = False
         self._is_queued = False  # for a turn
@@ -283,6 +286,10 @@
         head = sum(len(name) + len(value) + 4 for name, value in self.headers)
         self._wire_bytes = 0
         self._head_bytes = HEAD_COST * (head + len(request.target))
+        prefix = self._intake.bodiless_prefix
+        self._ignores_body = bool(prefix) and request.target.startswith(prefix)
+        if self._ignores_body:
+            length = min(length, STEP_BYTES)
         if length > self._intake.get_limits().body_bytes:
             return self._describe_size()
         if not self._reservation.extend(self._head_bytes + length):
@@ -298,7 +305,7 @@
         framing = self._wire_bytes - self._body_bytes
         if self._body_bytes > limit or framing > limit + READ_BYTES:
             return self._describe_size()
-        if self._is_chunked:
+        if self._is_chunked and not self._ignores_body:
             steps = -(-self._body_bytes // STEP_BYTES)
             size = min(steps * STEP_BYTES, limit)
             if not self._reservation.extend(self._head_bytes + size):
@@ -343,6 +350,9 @@
         if remaining > 0:
             self._timer = self.loop.call_later(remaining, self._check_progress)
             return
+        if self.cycle is None and not self._parser.buffered_bytes:
+            self.transport.close()  # a response without a request would be misread
+            return
         part = "head" if self.conn.their_state is h11.IDLE else "body"
         detail = f"The request {part} was incomplete and did not grow for "
         problem = Problem(
