--- a/gentianworks/platform/settings.py
+++ b/gentianworks/platform/settings.py
@@ -13,6 +13,7 @@
 # The deploy file declares the same ports to the platform.
 METRICS_PORTS = {"router": 9461, "control": 9462}
 PRESSURE_CONTRACT = "pressure"
+DEFAULT_DESCRIPTORS = 4096  # where the settings have no maxFds
 PEER_PORT_OFFSETS = {"router": 0, "control": 1}  # offsets into the internal ports
 
 
@@ -45,6 +46,7 @@
     # Callers compete for little room, on replicas that share their machines.
     is_contended: bool
     memory_limit: int  # bytes, over which the process is killed; 0 if there is none
+    descriptor_limit: int  # open files and sockets of a process
 
     def build_metrics_address(self, role: str) -> str:
         """Return the IP:PORT of a role's metrics."""
@@ -80,6 +82,7 @@
     listen = document.get("listen", {})
     bounds = document.get("bounds", {})
     cloud = document.get("cloud", {})
+    limits = document.get("limits", {})
     first_port, last_port = document["internalPorts"]
     return MachineSettings(
         machine=str(document["node"]),
@@ -100,7 +103,8 @@
         listing_address=str(cloud.get("address", "")),
         listing_rate=_read_rate(cloud),
         is_contended=PRESSURE_CONTRACT in document.get("contracts", ()),
-        memory_limit=int(document.get("limits", {}).get("memoryMb", 0)) * MEBIBYTE,
+        memory_limit=int(limits.get("memoryMb", 0)) * MEBIBYTE,
+        descriptor_limit=int(limits.get("maxFds", DEFAULT_DESCRIPTORS)),
     )
 
 
