--- a/gentianworks/core/placement/choice.py
+++ b/gentianworks/core/placement/choice.py
@@ -15,6 +15,7 @@
 from gentianworks.core.gateway.calls import Call
 from gentianworks.core.gateway.replicas import Replica, ReplicaName
 from gentianworks.core.gateway.state import GatewayState
+from gentianworks.core.placement.speeds import SpeedTable
 from gentianworks.core.routing.placement import order_by_score
 from gentianworks.core.types import ServiceName
 
@@ -101,35 +102,36 @@
     Slower replicas take fewer calls. The load bound counts calls at any speed.
     """
     calls: dict[ReplicaName, float] = {}
-    factors: dict[ReplicaName, float] = {}
+    costs: dict[ReplicaName, float] = {}
     for item in candidates:
-        calls[item.name] = gateway.registry.get_load(item.name).estimate(now) + 1
-        factors[item.name] = _compute_cost_factor(item, gateway, now)
+        load = gateway.registry.get_load(item.name).estimate(now) + 1
+        calls[item.name] = load
+        costs[item.name] = load * _compute_cost_factor(item, gateway, now)
     service = candidates[0].service
     bound = SPILL_MULTIPLE * _compute_mean(service, candidates, calls, gateway)
     allowed = [x for x in candidates if calls[x.name] <= bound + SPILL_FLOOR]
     if not allowed:
         return _choose_least_loaded(call.request_id, candidates, calls)
     if call.affinity_key:
-        costs = {name: calls[name] * factor for name, factor in factors.items()}
         mean = _compute_mean(service, candidates, costs, gateway)
         return _choose_by_affinity(call.affinity_key, allowed, costs, mean)
     order = order_by_score(call.request_id, allowed)
-    return min(order, key=lambda x: _estimate_time(x, calls, factors))
+    return min(
+        order, key=lambda x: _estimate_time(x, costs[x.name], gateway.speeds, now)
+    )
 
 
 def _estimate_time(
-    replica: Replica,
-    calls: dict[ReplicaName, float],
-    factors: dict[ReplicaName, float],
+    replica: Replica, cost: float, speeds: SpeedTable, now: float
 ) -> float:
-    """Return the expected queueing and run time, in run times of a usual replica.
+    """Return the expected run and queueing time, in run times of a usual replica.
 
     Loads are up to 2 s old and other routers add to them, so queueing is expected to
-    grow from the first call on rather than only beyond the slots.
+    grow from the first call on rather than only beyond the slots. At equal speeds the
+    order is that by load.
     """
-    ahead = calls[replica.name] - 1
-    return (1 + ahead / max(1, replica.slots)) * factors[replica.name]
+    run_time = speeds.compute_cost_factor(replica.name, replica.service, now)
+    return run_time + cost / max(1, replica.slots)
 
 
 def _compute_cost_factor(replica: Replica, gateway: GatewayState, now: float) -> float:
