--- a/gentianworks/core/placement/choice.py
+++ b/gentianworks/core/placement/choice.py
@@ -15,7 +15,6 @@
 from gentianworks.core.gateway.calls import Call
 from gentianworks.core.gateway.replicas import Replica, ReplicaName
 from gentianworks.core.gateway.state import GatewayState
-from gentianworks.core.placement.speeds import SpeedTable
 from gentianworks.core.routing.placement import order_by_score
 from gentianworks.core.types import ServiceName
 
@@ -103,10 +102,13 @@
     """
     calls: dict[ReplicaName, float] = {}
     costs: dict[ReplicaName, float] = {}
+    run_times: dict[ReplicaName, float] = {}  # in those of a usual replica
     for item in candidates:
         load = gateway.registry.get_load(item.name).estimate(now) + 1
         calls[item.name] = load
-        costs[item.name] = load * _compute_cost_factor(item, gateway, now)
+        speed = gateway.speeds.compute_cost_factor(item.name, item.service, now)
+        run_times[item.name] = speed
+        costs[item.name] = load * _combine_with_health(speed, item, gateway, now)
     service = candidates[0].service
     bound = SPILL_MULTIPLE * _compute_mean(service, candidates, calls, gateway)
     allowed = [x for x in candidates if calls[x.name] <= bound + SPILL_FLOOR]
@@ -115,32 +117,24 @@
     if call.affinity_key:
         mean = _compute_mean(service, candidates, costs, gateway)
         return _choose_by_affinity(call.affinity_key, allowed, costs, mean)
+    # Loads are up to 2 s old and other routers add to them, so queueing is expected to
+    # grow from the first call on rather than only beyond the slots. At equal speeds the
+    # order is that by load.
     order = order_by_score(call.request_id, allowed)
     return min(
-        order, key=lambda x: _estimate_time(x, costs[x.name], gateway.speeds, now)
+        order,
+        key=lambda x: run_times[x.name] + costs[x.name] / max(1, x.slots),
     )
 
 
-def _estimate_time(
-    replica: Replica, cost: float, speeds: SpeedTable, now: float
+def _combine_with_health(
+    speed: float, replica: Replica, gateway: GatewayState, now: float
 ) -> float:
-    """Return the expected run and queueing time, in run times of a usual replica.
-
-    Loads are up to 2 s old and other routers add to them, so queueing is expected to
-    grow from the first call on rather than only beyond the slots. At equal speeds the
-    order is that by load.
-    """
-    run_time = speeds.compute_cost_factor(replica.name, replica.service, now)
-    return run_time + cost / max(1, replica.slots)
-
-
-def _compute_cost_factor(replica: Replica, gateway: GatewayState, now: float) -> float:
     """Return the factor by which a replica's load counts.
 
     The slowness that a replica reports also shows in its latency, by which its health
     is judged, so the larger of the two counts rather than their product.
     """
-    speed = gateway.speeds.compute_cost_factor(replica.name, replica.service, now)
     health = gateway.health.compute_cost_factor(replica.name, replica.service, now)
     return max(speed, health) if health > 1.0 else speed
 
