Report no failures from before the window of outcomes

A router counted failures without limit while it knew no leader, and reported them to the next one as new. A few failures a minute could then eject a replica.

--- a/gentianworks/core/outliers/outcomes.py
+++ b/gentianworks/core/outliers/outcomes.py
@@ -43,7 +43,9 @@
     """A router's outcomes of the last seconds, and what it has not reported yet."""
 
     outcomes: dict[ServiceName, deque[Outcome]] = field(factory=dict)
-    unreported: dict[ReplicaName, int] = field(factory=dict)
+    # Times of failures in seconds. While no leader is known nothing is reported, and
+    # failures from before the window must not count as new ones to the next leader.
+    unreported: dict[ReplicaName, deque[float]] = field(factory=dict)
     _reported_at: dict[ReplicaName, float] = field(factory=dict)
 
     def record(self, service: ServiceName, outcome: Outcome) -> None:
@@ -53,8 +55,12 @@
         while recent[0].at < outcome.at - WINDOW:
             recent.popleft()
         if outcome.is_failure:
-            count = self.unreported.get(outcome.replica, 0)
-            self.unreported[outcome.replica] = count + 1
+            times = self.unreported.setdefault(
+                outcome.replica, deque(maxlen=MAX_OUTCOMES)
+            )
+            times.append(outcome.at)
+            while times[0] < outcome.at - WINDOW:
+                times.popleft()
 
     def take_report(
         self, replica: ReplicaName, service: ServiceName, replicas: int, now: float
@@ -63,7 +69,8 @@
 
         `replicas` is the number of replicas of the service.
         """
-        failures = self.unreported.get(replica, 0)
+        times = self.unreported.get(replica, ())
+        failures = sum(at >= now - WINDOW for at in times)
         last_at = self._reported_at.get(replica, float("-inf"))
         if not failures or now - last_at < REPORT_INTERVAL:
             return None
@@ -76,6 +83,7 @@
 
     def retain_replicas(self, names: set[ReplicaName]) -> None:
         """Forget the replicas that are not listed."""
-        for counts in (self.unreported, self._reported_at):
-            for name in [name for name in counts if name not in names]:
-                del counts[name]
+        for name in [name for name in self.unreported if name not in names]:
+            del self.unreported[name]
+        for name in [name for name in self._reported_at if name not in names]:
+            del self._reported_at[name]
--- a/gentianworks/tests/test_outliers.py
+++ b/gentianworks/tests/test_outliers.py
@@ -108,6 +108,15 @@
         table.record("a", report, ROUTERS, REPLICAS, 1.0)
         assert table.record("b", report, ROUTERS, REPLICAS, 9.0) is None
 
+    def test_failures_from_before_the_window_are_not_reported_as_new(self) -> None:
+        """A router without a leader would report minutes of failures to the next."""
+        recent = RecentOutcomes()
+        for second in range(30):
+            recent.record("llm", Outcome("i-1", True, float(second)))
+        report = recent.take_report("i-1", "llm", REPLICAS, 29.0)
+        assert report is not None
+        assert report.failures == report.answers == 3
+
     def test_each_further_ejection_lasts_longer(self) -> None:
         table = OutlierTable()
         report = FailureReport("i-1", "llm", 5, 5, 0.1)
