Include avoided replicas in the mean load of the load bound

Ejected replicas, those whose subjects are returning and those that may have restarted were left out of the mean, so that the bound of the others rose to 2.4 times the service's mean with a third avoided. The return of warm replicas is applied last: before, a call went to an outlier or an unreachable replica although one that returns was left.

--- a/gentianworks/core/gateway/replicas.py
+++ b/gentianworks/core/gateway/replicas.py
@@ -163,6 +163,19 @@
             for item in self.replicas.values()
         )
 
+    def count_restarting(self, service: ServiceName) -> int:
+        """Return the number of replicas that are avoided as they may have restarted."""
+        if not self.lost_at:
+            return 0
+        return sum(
+            item.service == service
+            and not item.is_leaving
+            and item.name not in self.misaddressed
+            and not self.is_evacuated(item)
+            and self._may_have_restarted(item)
+            for item in self.replicas.values()
+        )
+
     def list_reachable(self, service: ServiceName) -> list[Replica]:
         """Return the replicas of a service, including those that are leaving."""
         return [
--- a/gentianworks/core/placement/choice.py
+++ b/gentianworks/core/placement/choice.py
@@ -41,21 +41,25 @@
         if item.name not in tried
         and gateway.limits.may_send(item.name, call.placement_key, now)
     ]
-    untried = _list_returned(untried, call, gateway, now)
     reachable = [
         item for item in untried if not gateway.backoff.is_unavailable(item.name, now)
     ]
-    candidates = gateway.outliers.prefer_sound(reachable or untried, is_repeatable, now)
+    # The load bound includes replicas that this call avoids, so the mean does too.
+    counted = reachable or untried
+    sound = gateway.outliers.prefer_sound(counted, is_repeatable, now)
+    # Last, so that a replica that is returning is preferred to one that fails calls.
+    candidates = _list_returned(sound, call, gateway, now)
     if not candidates:
         return None
     due = _find_renewal(candidates, gateway, now)
     if due is not None:
         return due
     if gateway.speeds.is_reported(service):
-        return _choose_by_speed(call, candidates, gateway, now)
+        return _choose_by_speed(call, candidates, counted, gateway, now)
     loads = {item.name: _compute_load(item, gateway, now) for item in candidates}
+    _add_avoided(loads, counted, gateway, now)
     if call.affinity_key:
-        mean = _compute_mean(service, candidates, loads, gateway)
+        mean = _compute_mean(service, counted, loads, gateway)
         return _choose_by_affinity(call.affinity_key, candidates, loads, mean)
     return _choose_least_loaded(call.request_id, candidates, loads)
 
@@ -88,6 +92,24 @@
     return (load + 1) * factor
 
 
+def _add_avoided(
+    loads: dict[ReplicaName, float],
+    counted: list[Replica],
+    gateway: GatewayState,
+    now: float,
+) -> None:
+    """Add the calls of the replicas that count but are no candidates.
+
+    Their health is not weighed, since a high cost of an avoided replica would raise the
+    bound of the others.
+    """
+    if len(counted) > len(loads):
+        for item in counted:
+            if item.name not in loads:
+                load = gateway.registry.get_load(item.name).estimate(now)
+                loads[item.name] = load + 1
+
+
 def _compute_mean(
     service: ServiceName,
     candidates: list[Replica],
@@ -97,8 +119,8 @@
     """Return the mean load of the replicas without a limit, or of all if none is left.
 
     The few calls of limited replicas would make the others' subjects spill to them.
-    Replicas of evacuated zones and cold ones count as idle, since the load bound of the
-    service includes them.
+    Replicas of evacuated zones, cold ones and those that may have restarted count as
+    idle, since the load bound of the service includes them.
     """
     limits = gateway.limits
     names = [x.name for x in candidates if limits.get_limit(x.name) is None]
@@ -106,6 +128,7 @@
     # The loads count one more call at each replica; the mean must not.
     mean = max(0.0, sum(counted) / len(counted) - 1)
     idle = gateway.registry.count_evacuated(service)
+    idle += gateway.registry.count_restarting(service)
     warm = len(candidates)
     if names and limits.cold.limits:
         usable = gateway.registry.list_usable(service)
@@ -115,25 +138,31 @@
 
 
 def _choose_by_speed(
-    call: Call, candidates: list[Replica], gateway: GatewayState, now: float
+    call: Call,
+    candidates: list[Replica],
+    counted: list[Replica],
+    gateway: GatewayState,
+    now: float,
 ) -> Replica:
     """Return the replica for a call of a service whose replicas report slowness.
 
-    Slower replicas take fewer calls. The load bound counts calls at any speed.
+    Slower replicas take fewer calls. The load bound counts calls at any speed, and the
+    `counted` replicas, which include those that the call avoids.
     """
     calls: dict[ReplicaName, float] = {}
     factors: dict[ReplicaName, float] = {}
     for item in candidates:
         calls[item.name] = gateway.registry.get_load(item.name).estimate(now) + 1
         factors[item.name] = _compute_cost_factor(item, gateway, now)
+    _add_avoided(calls, counted, gateway, now)
     service = candidates[0].service
-    bound = SPILL_MULTIPLE * _compute_mean(service, candidates, calls, gateway)
+    bound = SPILL_MULTIPLE * _compute_mean(service, counted, calls, gateway)
     allowed = [x for x in candidates if calls[x.name] <= bound + SPILL_FLOOR]
     if not allowed:
         return _choose_least_loaded(call.request_id, candidates, calls)
     if call.affinity_key:
-        costs = {name: calls[name] * factor for name, factor in factors.items()}
-        mean = _compute_mean(service, candidates, costs, gateway)
+        costs = {name: count * factors.get(name, 1.0) for name, count in calls.items()}
+        mean = _compute_mean(service, counted, costs, gateway)
         return _choose_by_affinity(call.affinity_key, allowed, costs, mean)
     order = order_by_score(call.request_id, allowed)
     return min(order, key=lambda x: _estimate_time(x, calls, factors))
--- a/gentianworks/tests/test_cold_replicas.py
+++ b/gentianworks/tests/test_cold_replicas.py
@@ -356,3 +356,26 @@
         assert heartbeat.cold_rates == self.RATES
         codec = MessageCodec(b"k" * 32)
         assert codec.decode_or_error(codec.encode(heartbeat)) == heartbeat
+
+
+class TestLoadBound:
+    def test_replicas_that_may_have_restarted_count_as_idle(self) -> None:
+        """Else the bound of the others rises with each replica that is avoided."""
+        state = build_router(count=3)
+        gateway = get_gateway(state)
+        home, second, third = list_order(state, NOW + 0.2)
+        gateway.registry.lost_at[home] = NOW + 0.3
+        for name, calls in ((second, 19), (third, 11)):
+            gateway.registry.get_load(name).record_report(calls, NOW + 0.3)
+            gateway.registry.get_load(name).own_calls = calls
+        assert list_sent(state, NOW + 0.3, 1) == [third]
+
+
+def list_order(state: State, now: float) -> list[str]:
+    """Return the replicas in the order in which a call's subject prefers them."""
+    gateway, names = get_gateway(state), []
+    for _ in gateway.registry.replicas:
+        names += list_sent(state, now, 1)
+        gateway.registry.lost_at[names[-1]] = now
+    gateway.registry.lost_at.clear()
+    return names
--- a/gentianworks/tests/test_outliers.py
+++ b/gentianworks/tests/test_outliers.py
@@ -173,6 +173,33 @@
         reduce(OutliersChanged("c", everything), state, NOW)
         assert send_to(state, "first", NOW)
 
+    def test_the_load_bound_includes_the_outliers(self) -> None:
+        """A third of idle outliers let the others' bound rise to 2.4 times the mean."""
+        state = build_enabled_gateway()
+        gateway = get_gateway(state)
+        home = send_to(state, "first", NOW)
+        others = [f"engines-{n}" for n in (1, 2, 3) if f"engines-{n}" != home]
+        reduce(OutliersChanged("c", {home: 2.0}), state, NOW)
+        second = send_to(state, "second", NOW)
+        (third,) = set(others) - {second}
+        # The mean of all three is 10, so that 19 calls at most are allowed.
+        for name, calls in ((home, 0), (second, 19), (third, 11)):
+            gateway.registry.get_load(name).record_report(calls, NOW)
+            gateway.registry.get_load(name).own_calls = calls
+        assert send_to(state, "fourth", NOW) == third
+
+    def test_a_replica_that_is_returning_is_preferred_to_an_outlier(self) -> None:
+        """Where the others fail calls, waiting for the ramp would lose them."""
+        state = build_enabled_gateway()
+        gateway = get_gateway(state)
+        cold = gateway.limits.cold
+        listed = gateway.registry.replicas
+        cold.update({"engines-1": 1.0}, listed, NOW)
+        cold.update({}, listed, NOW)
+        avoided = {"engines-2": 2.0, "engines-3": 2.0}
+        reduce(OutliersChanged("c", avoided), state, NOW)
+        assert send_to(state, "first", NOW) == "engines-1"
+
 
 def build_enabled_gateway() -> State:
     """Return a router whose settings ask it to share outcomes."""
