--- a/gentianworks/core/gateway/attempts.py
+++ b/gentianworks/core/gateway/attempts.py
@@ -61,8 +61,12 @@
 def _report_outcome(
     exchange: GatewayExchange, answer: ReplicaAnswerHead, state: State, now: float
 ) -> list[Effect]:
-    """Report the outcome of an answer, unless it refuses the call or has a defect."""
-    if exchange.replica is None or answer.is_not_run or answer.defect:
+    """Report the outcome of an answer, unless it refuses the call or has a defect.
+
+    An answer of another replica at the address tells nothing of the intended one.
+    """
+    is_refusal = answer.is_not_run or answer.is_other_replica
+    if exchange.replica is None or is_refusal or answer.defect:
         return []
     is_failure = answer.status >= MIN_FAILURE_STATUS
     return record_outcome(exchange.replica, is_failure, state, now)
--- a/gentianworks/tests/test_outliers.py
+++ b/gentianworks/tests/test_outliers.py
@@ -137,6 +137,16 @@
         reports = [item.message for item in messages]
         assert any(isinstance(item, ReplicaFailuresReported) for item in reports)
 
+    def test_a_failure_of_another_replica_at_the_address_is_not_reported(self) -> None:
+        """The listed replica would be ejected for what it has not answered."""
+        state = build_enabled_gateway()
+        state.fleet.leader_address = "tcp://leader"
+        sent = get_effect(CallReplica, send_call(state))
+        effects = answer_call(
+            sent, state, status=500, is_event_stream=False, is_other_replica=True
+        )
+        assert not [item for item in effects if isinstance(item, SendMessage)]
+
     def test_nothing_is_reported_where_the_settings_do_not_ask_for_it(self) -> None:
         state = build_gateway()
         state.fleet.leader_address = "tcp://leader"
