--- a/gentianworks/core/outliers/table.py
+++ b/gentianworks/core/outliers/table.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import Counter, deque
+from collections.abc import Iterable
 
 from attrs import define, field, frozen
 
@@ -90,7 +91,7 @@
         Routers without failures report nothing, so their answers are estimated from
         those of the routers that do.
         """
-        failures = sum(item.report.failures for item in recent)
+        failures = _count_failures(recent)
         latest = {item.router: item.report for item in recent}
         if failures < MIN_FAILURES or len(latest) < min(MIN_REPORTERS, routers):
             return False
@@ -103,12 +104,11 @@
         self, report: FailureReport, recent: deque[ReceivedReport], replicas: int
     ) -> bool:
         total = sum(
-            item.report.failures
+            _count_failures(received)
             for received in self.reports.values()
-            for item in received
-            if item.report.service == report.service
+            if received and received[0].report.service == report.service
         )
-        failures = sum(item.report.failures for item in recent)
+        failures = _count_failures(recent)
         others = (total - failures) / max(1, replicas - 1)
         return failures >= MIN_FAILURES + OUTLIER_MULTIPLE * others
 
@@ -144,3 +144,19 @@
             for name, item in self.ejections.items()
             if now < item.until
         }
+
+
+def _count_failures(reports: Iterable[ReceivedReport]) -> int:
+    """Return the failures that some reports of a replica tell.
+
+    A router's failures are at most its answers, so that a report which arrives twice
+    does not count twice.
+    """
+    failures: Counter[str] = Counter()
+    answers: dict[str, int] = {}
+    for item in reports:
+        failures[item.router] += item.report.failures
+        answers[item.router] = max(
+            answers.get(item.router, 0), item.report.answers, item.report.failures
+        )
+    return sum(min(count, answers[router]) for router, count in failures.items())
--- a/gentianworks/tests/test_outliers.py
+++ b/gentianworks/tests/test_outliers.py
@@ -102,6 +102,13 @@
         assert table.record("a", report, ROUTERS, REPLICAS, 1.1) is None
         assert table.record("b", report, ROUTERS, REPLICAS, 1.2) is not None
 
+    def test_a_report_that_arrives_twice_counts_once(self) -> None:
+        """Two failures would eject a replica if each report were doubled."""
+        table = OutlierTable()
+        report = FailureReport("i-1", "llm", 1, 1, 0.1)
+        for router in ("a", "b", "a", "b"):
+            assert table.record(router, report, ROUTERS, REPLICAS, 1.0) is None
+
     def test_failures_of_long_ago_do_not_count(self) -> None:
         table = OutlierTable()
         report = FailureReport("i-1", "llm", 1, 1, 0.1)
