Eject no replica before a new leader has heard the routers

A new leader that knew one router or none let that router alone eject a replica, and estimated the answers of all from the few routers it knew. Also tests that ejections outlive the leader by the routers' clocks, and that one router's reports eject nothing.

--- a/gentianworks/core/outliers/control.py
+++ b/gentianworks/core/outliers/control.py
@@ -18,6 +18,10 @@
     shared = state.shared_list
     if shared is None or not is_fetcher(state):
         return []
+    # Until the routers have been heard, one could eject a replica alone, and the
+    # answers of all are underestimated.
+    if not state.limit_table.is_settled(now):
+        return []
     report = event.report
     replicas = sum(
         item.service == report.service and not item.is_leaving
--- a/gentianworks/tests/test_outliers.py
+++ b/gentianworks/tests/test_outliers.py
@@ -30,6 +30,7 @@
     get_gateway,
     send_call,
 )
+from properties.listed_fleet import ListedFleet, Platform
 
 ROUTERS = 28
 REPLICAS = 24
@@ -162,6 +163,52 @@
         assert not [item for item in effects if isinstance(item, SendMessage)]
 
 
+class TestLeader:
+    def test_a_leader_that_has_not_heard_the_routers_ejects_nothing(self) -> None:
+        """It would take the only router that it knows for the whole fleet."""
+        fleet = build_listed_fleet()
+        fleet.crash(get_leader(fleet))
+        while fleet.find_leader() is None:
+            fleet.run(0.01)
+        leader = fleet.hosts[get_leader(fleet)].state
+        assert report_failures(fleet, "i-1", 1) == []
+        assert not leader.outlier_table.ejections
+
+
+class TestFailures:
+    def test_a_new_leader_starts_empty_and_ejections_end_by_routers_clocks(
+        self,
+    ) -> None:
+        """Ejections must neither be lost with the leader nor last without one."""
+        fleet = build_listed_fleet()
+        assert report_failures(fleet, "i-1")
+        fleet.run(0.1)
+        told_at = fleet.now
+        gateways = [get_gateway(item.state) for item in fleet.routers]
+        listed = [list(item.registry.replicas.values()) for item in gateways]
+        fleet.crash(get_leader(fleet))
+        while fleet.find_leader() is None:
+            fleet.run(0.01)
+        leader = fleet.hosts[get_leader(fleet)].state
+        assert not leader.outlier_table.ejections
+        for gateway, replicas in zip(gateways, listed, strict=True):
+            outliers = gateway.outliers
+            sound = outliers.prefer_sound(replicas, True, told_at)
+            assert {x.name for x in replicas} - {x.name for x in sound} == {"i-1"}
+            later = told_at + FIRST_EJECTION
+            assert outliers.prefer_sound(replicas, True, later) == replicas
+
+    def test_reports_of_a_router_that_is_cut_off_eject_nothing(self) -> None:
+        """It alone fails to reach the replicas, which serve all others."""
+        fleet = build_listed_fleet()
+        for _ in range(10):
+            for name in ("i-1", "i-2", "i-3"):
+                assert report_failures(fleet, name, routers=1) == []
+            fleet.run(0.1)
+        for item in fleet.routers:
+            assert not get_gateway(item.state).outliers.avoided_until
+
+
 class TestRouters:
     def test_calls_avoid_an_outlier_until_its_time_has_passed(self) -> None:
         state = build_enabled_gateway()
@@ -218,6 +265,48 @@
         assert send_to(state, "first", NOW) == "engines-1"
 
 
+def build_listed_fleet() -> ListedFleet:
+    """Return a fleet of four routers that know six replicas."""
+    platform = Platform()
+    for number in range(6):
+        platform.add(f"i-{number}")
+    fleet = ListedFleet(3, 1, seed_host_count=3, router_count=4, platform=platform)
+    started_at = fleet.now
+    while not fleet.has_current_lists():
+        assert fleet.now < started_at + 10.0
+        fleet.run(0.1)
+    fleet.run(2.0)
+    return fleet
+
+
+def get_leader(fleet: ListedFleet) -> int:
+    """Return the number of the leader."""
+    leader = fleet.find_leader()
+    assert leader is not None
+    return leader
+
+
+def report_failures(
+    fleet: ListedFleet, replica: str, routers: int = 2
+) -> list[dict[str, float]]:
+    """Report failures to the leader; return the ejections of which it tells routers.
+
+    The notices are delivered to the routers.
+    """
+    number, report = get_leader(fleet), FailureReport(replica, "engines", 5, 5, 1.0)
+    told = []
+    for router in fleet.routers[:routers]:
+        event = ReplicaFailuresReported("r", router.address, report)
+        state = fleet.hosts[number].state
+        for effect in reduce(event, state, fleet.now):
+            if isinstance(effect, SendMessage):
+                assert isinstance(effect.message, OutliersChanged)
+                told.append(effect.message.ejected)
+                target = next(x for x in fleet.routers if x.address == effect.address)
+                reduce(effect.message, target.state, fleet.now)
+    return told
+
+
 def build_enabled_gateway() -> State:
     """Return a router whose settings ask it to share outcomes."""
     state = build_gateway()
