Count only replicas that get calls in the room for ejections

Ejected replicas that had left the list kept others from being ejected, and with a zone evacuated or replicas cold, a third of all was half of those that carry the load.

--- a/gentianworks/core/outliers/table.py
+++ b/gentianworks/core/outliers/table.py
@@ -85,6 +85,20 @@
         del self.reports[report.replica]
         return self._eject(report, now)
 
+    def retain_replicas(self, service: ServiceName, names: set[ReplicaName]) -> None:
+        """Forget the replicas of a service that get no calls any more.
+
+        Their ejections would take the room of others, and their failures would make the
+        others' failures look usual.
+        """
+        for name, ejection in list(self.ejections.items()):
+            if ejection.service == service and name not in names:
+                del self.ejections[name]
+        for name, recent in list(self.reports.items()):
+            is_of_service = any(item.report.service == service for item in recent)
+            if is_of_service and name not in names:
+                del self.reports[name]
+
     def _fails_often(self, recent: deque[ReceivedReport], routers: int) -> bool:
         """Return whether the fleet's failures exceed what is usual by far.
 
--- a/gentianworks/tests/test_outliers.py
+++ b/gentianworks/tests/test_outliers.py
@@ -174,6 +174,40 @@
         assert report_failures(fleet, "i-1", 1) == []
         assert not leader.outlier_table.ejections
 
+    def test_replicas_that_left_the_list_take_no_room(self) -> None:
+        """After a zone restarts under new names, its successors must be ejected."""
+        fleet = build_listed_fleet()
+        assert report_failures(fleet, "i-1")
+        assert report_failures(fleet, "i-2")
+        assert report_failures(fleet, "i-3") == []
+        for name in ("i-1", "i-2"):
+            del fleet.platform.replicas[name]
+        fleet.platform.add("i-7", "10.9.9.7:80")
+        fleet.run(1.5)
+        assert report_failures(fleet, "i-3")
+        assert report_failures(fleet, "i-2") == []
+
+    def test_replicas_of_evacuated_zones_make_no_room(self) -> None:
+        """A third of all replicas is half of those that are left."""
+        fleet = build_listed_fleet()
+        state = fleet.hosts[get_leader(fleet)].state
+        for name in ("i-0", "i-5"):
+            replica = fleet.platform.replicas[name]
+            fleet.platform.replicas[name] = evolve(replica, availability_zone="b")
+        fleet.run(1.5)
+        state.control.replicated.evacuations.set_evacuated("b", True)
+        assert report_failures(fleet, "i-5") == []
+        assert report_failures(fleet, "i-1")
+        assert report_failures(fleet, "i-2") == []
+
+    def test_cold_replicas_make_no_room(self) -> None:
+        """They take few calls of those that are ejected."""
+        fleet = build_listed_fleet()
+        state = fleet.hosts[get_leader(fleet)].state
+        state.limit_table.cold_limits = {"i-0": 9.0, "i-5": 9.0}
+        assert report_failures(fleet, "i-1")
+        assert report_failures(fleet, "i-2") == []
+
 
 class TestFailures:
     def test_a_new_leader_starts_empty_and_ejections_end_by_routers_clocks(
