Count no slots of cold replicas and outliers as free in admission

Where replicas report slowness, no call was refused while a replica had a free slot. Cold replicas without a share and outliers are idle, so calls that could not meet their deadline queued at the full replicas.

--- a/gentianworks/core/gateway/admission.py
+++ b/gentianworks/core/gateway/admission.py
@@ -62,16 +62,34 @@
     )
     if first_byte <= remaining:
         return 0.0
-    if remaining > 0 and _has_free_slot(exchange.service, gateway, now):
+    if remaining > 0 and _has_free_slot(exchange, gateway, now):
         return 0.0
     return spread_retry_after(exchange, max(MIN_RETRY_AFTER, first_byte - remaining))
 
 
-def _has_free_slot(service: str, gateway: GatewayState, now: float) -> bool:
-    """Return whether a replica has a free slot, if its service reports slowness."""
-    return gateway.speeds.is_reported(service) and any(
+def _has_free_slot(
+    exchange: GatewayExchange, gateway: GatewayState, now: float
+) -> bool:
+    """Return whether a replica has a free slot, if its service reports slowness.
+
+    The slots of replicas that can't get the call are not free: those of cold replicas
+    and outliers are idle while the others are full.
+    """
+    if not gateway.speeds.is_reported(exchange.service):
+        return False
+    untried = [
+        item
+        for item in gateway.registry.list_usable(exchange.service)
+        if item.name not in exchange.tried_replicas
+        and gateway.limits.may_send(item.name, exchange.call.placement_key, now)
+    ]
+    reachable = [
+        item for item in untried if not gateway.backoff.is_unavailable(item.name, now)
+    ]
+    sound = gateway.outliers.prefer_sound(reachable or untried, True, now)
+    return any(
         gateway.registry.get_load(item.name).estimate(now) < item.slots
-        for item in gateway.registry.list_usable(service)
+        for item in sound
     )
 
 
--- a/gentianworks/tests/test_replica_speeds.py
+++ b/gentianworks/tests/test_replica_speeds.py
@@ -323,6 +323,22 @@
         effects = send_call(state, path="/read/1", prompt=(), timeout=0.9)
         get_effect(CallReplica, effects)
 
+    @pytest.mark.parametrize("cause", ["cold", "outlier"])
+    def test_the_slots_of_a_replica_that_gets_no_calls_are_not_free(
+        self, cause: str
+    ) -> None:
+        """Calls would queue at the full replicas beyond their deadline."""
+        state = build_gateway()
+        gateway = report(state, "books", {1: 100, 2: 100, 3: 100})
+        for number in (1, 2):
+            gateway.registry.get_load(f"books-{number}").record_report(60, NOW)
+        if cause == "cold":
+            gateway.limits.cold.limits = {"books-3": 9.0}
+        else:
+            gateway.outliers.avoid({"books-3": 2.0}, NOW)
+        effects = send_call(state, path="/read/1", prompt=(), timeout=0.1)
+        get_effect(RefuseRequest, effects)
+
     def test_the_queue_of_a_slow_replica_takes_longer(self) -> None:
         waits = []
         for figures in ({1: 100, 2: 100, 3: 100}, {1: 200, 2: 200, 3: 50}):
