--- a/gentianworks/core/request_limits/replica_limits.py
+++ b/gentianworks/core/request_limits/replica_limits.py
@@ -293,7 +293,9 @@
 
     def _set_unlimited(self, name: ReplicaName) -> None:
         self._times.pop(name, None)
-        self._tokens.pop(name, None)
+        # The share of a cold replica goes on, and a new bucket would be a burst.
+        if name not in self.cold.limits:
+            self._tokens.pop(name, None)
 
     def update_cold(
         self,
--- a/gentianworks/tests/test_cold_replicas.py
+++ b/gentianworks/tests/test_cold_replicas.py
@@ -39,6 +39,7 @@
 from gentianworks.core.request_limits.replica_limits import (
     LEADER_TIMEOUT,
     LentShare,
+    LimitChange,
     ReportedLimit,
 )
 from gentianworks.core.request_limits.shares import SETTLE_TIME, LimitTable
@@ -198,6 +199,21 @@
         limits = get_gateway(state).limits
         assert limits.get_limit("engines-1") == limits.get_rate("engines-1") == 3.0
 
+    def test_the_end_of_a_named_limit_does_not_refill_a_cold_replicas_share(
+        self,
+    ) -> None:
+        """Each end would let the routers send what they have just used once more."""
+        state = build_router(cold=(1,), count=1)
+        lend(state, NOW + 0.2, 2, engines_1=1.0)
+        sent = get_effect(CallReplica, send_call(state, NOW + 2.0))
+        limits = get_gateway(state).limits
+        answer_call(sent, state, NOW + 2.0, notices=ReplicaNotices(100.0))
+        before = limits._refill("engines-1", NOW + 2.6).level
+        replica = get_gateway(state).registry.replicas["engines-1"]
+        change = limits.record_notices(replica, ReplicaNotices(), NOW + 2.6)
+        assert change is LimitChange.ENDED
+        assert limits._refill("engines-1", NOW + 2.6).level == before
+
     def test_buckets_of_replicas_that_left_the_list_are_forgotten(self) -> None:
         state = build_router(cold=(1, 2))
         lend(state, NOW + 0.2, 2, engines_1=1.0, engines_2=1.0)
