--- a/gentianworks/core/placement/prompt_sources.py
+++ b/gentianworks/core/placement/prompt_sources.py
@@ -31,9 +31,14 @@
         item for item in reachable if not gateway.registry.is_warming_up(item.name, now)
     ]
     order = order_by_score(call.affinity_key, warm)
-    if order and order[0].name == replica.name and not gateway.fetches_prefixes:
-        return None
-    source = next((item for item in order if item.name != replica.name), None)
-    if source is None:
+    if gateway.fetches_prefixes:
+        order = [
+            item
+            for item in gateway.outliers.prefer_sound(order, False, now)
+            if not gateway.backoff.is_unavailable(item.name, now)
+        ]
+        return next((item for item in order if item.name != replica.name), None)
+    source = next(iter(order), None)
+    if source is None or source.name == replica.name:
         return None
     return None if gateway.backoff.is_unavailable(source.name, now) else source
--- a/gentianworks/tests/test_cold_replicas.py
+++ b/gentianworks/tests/test_cold_replicas.py
@@ -39,6 +39,7 @@
 from gentianworks.core.request_limits.replica_limits import (
     LEADER_TIMEOUT,
     LentShare,
+    LimitChange,
     ReportedLimit,
 )
 from gentianworks.core.request_limits.shares import SETTLE_TIME, LimitTable
@@ -198,6 +199,21 @@
         limits = get_gateway(state).limits
         assert limits.get_limit("engines-1") == limits.get_rate("engines-1") == 3.0
 
+    def test_the_end_of_a_named_limit_does_not_refill_a_cold_replicas_share(
+        self,
+    ) -> None:
+        """Each end would let the routers send what they have just used once more."""
+        state = build_router(cold=(1,), count=1)
+        lend(state, NOW + 0.2, 2, engines_1=1.0)
+        sent = get_effect(CallReplica, send_call(state, NOW + 2.0))
+        limits = get_gateway(state).limits
+        answer_call(sent, state, NOW + 2.0, notices=ReplicaNotices(100.0))
+        before = limits._refill("engines-1", NOW + 2.6).level
+        replica = get_gateway(state).registry.replicas["engines-1"]
+        change = limits.record_notices(replica, ReplicaNotices(), NOW + 2.6)
+        assert change is LimitChange.ENDED
+        assert limits._refill("engines-1", NOW + 2.6).level == before
+
     def test_buckets_of_replicas_that_left_the_list_are_forgotten(self) -> None:
         state = build_router(cold=(1, 2))
         lend(state, NOW + 0.2, 2, engines_1=1.0, engines_2=1.0)
@@ -356,3 +372,26 @@
         assert heartbeat.cold_rates == self.RATES
         codec = MessageCodec(b"k" * 32)
         assert codec.decode_or_error(codec.encode(heartbeat)) == heartbeat
+
+
+class TestLoadBound:
+    def test_replicas_that_may_have_restarted_count_as_idle(self) -> None:
+        """Else the bound of the others rises with each replica that is avoided."""
+        state = build_router(count=3)
+        gateway = get_gateway(state)
+        home, second, third = list_order(state, NOW + 0.2)
+        gateway.registry.lost_at[home] = NOW + 0.3
+        for name, calls in ((second, 19), (third, 11)):
+            gateway.registry.get_load(name).record_report(calls, NOW + 0.3)
+            gateway.registry.get_load(name).own_calls = calls
+        assert list_sent(state, NOW + 0.3, 1) == [third]
+
+
+def list_order(state: State, now: float) -> list[str]:
+    """Return the replicas in the order in which a call's subject prefers them."""
+    gateway, names = get_gateway(state), []
+    for _ in gateway.registry.replicas:
+        names += list_sent(state, now, 1)
+        gateway.registry.lost_at[names[-1]] = now
+    gateway.registry.lost_at.clear()
+    return names
--- a/gentianworks/tests/test_outliers.py
+++ b/gentianworks/tests/test_outliers.py
@@ -30,6 +30,7 @@
     get_gateway,
     send_call,
 )
+from properties.listed_fleet import ListedFleet, Platform
 
 ROUTERS = 28
 REPLICAS = 24
@@ -102,12 +103,28 @@
         assert table.record("a", report, ROUTERS, REPLICAS, 1.1) is None
         assert table.record("b", report, ROUTERS, REPLICAS, 1.2) is not None
 
+    def test_a_report_that_arrives_twice_counts_once(self) -> None:
+        """Two failures would eject a replica if each report were doubled."""
+        table = OutlierTable()
+        report = FailureReport("i-1", "llm", 1, 1, 0.1)
+        for router in ("a", "b", "a", "b"):
+            assert table.record(router, report, ROUTERS, REPLICAS, 1.0) is None
+
     def test_failures_of_long_ago_do_not_count(self) -> None:
         table = OutlierTable()
         report = FailureReport("i-1", "llm", 1, 1, 0.1)
         table.record("a", report, ROUTERS, REPLICAS, 1.0)
         assert table.record("b", report, ROUTERS, REPLICAS, 9.0) is None
 
+    def test_failures_from_before_the_window_are_not_reported_as_new(self) -> None:
+        """A router without a leader would report minutes of failures to the next."""
+        recent = RecentOutcomes()
+        for second in range(30):
+            recent.record("llm", Outcome("i-1", True, float(second)))
+        report = recent.take_report("i-1", "llm", REPLICAS, 29.0)
+        assert report is not None
+        assert report.failures == report.answers == 3
+
     def test_each_further_ejection_lasts_longer(self) -> None:
         table = OutlierTable()
         report = FailureReport("i-1", "llm", 5, 5, 0.1)
@@ -128,6 +145,16 @@
         reports = [item.message for item in messages]
         assert any(isinstance(item, ReplicaFailuresReported) for item in reports)
 
+    def test_a_failure_of_another_replica_at_the_address_is_not_reported(self) -> None:
+        """The listed replica would be ejected for what it has not answered."""
+        state = build_enabled_gateway()
+        state.fleet.leader_address = "tcp://leader"
+        sent = get_effect(CallReplica, send_call(state))
+        effects = answer_call(
+            sent, state, status=500, is_event_stream=False, is_other_replica=True
+        )
+        assert not [item for item in effects if isinstance(item, SendMessage)]
+
     def test_nothing_is_reported_where_the_settings_do_not_ask_for_it(self) -> None:
         state = build_gateway()
         state.fleet.leader_address = "tcp://leader"
@@ -136,6 +163,86 @@
         assert not [item for item in effects if isinstance(item, SendMessage)]
 
 
+class TestLeader:
+    def test_a_leader_that_has_not_heard_the_routers_ejects_nothing(self) -> None:
+        """It would take the only router that it knows for the whole fleet."""
+        fleet = build_listed_fleet()
+        fleet.crash(get_leader(fleet))
+        while fleet.find_leader() is None:
+            fleet.run(0.01)
+        leader = fleet.hosts[get_leader(fleet)].state
+        assert report_failures(fleet, "i-1", 1) == []
+        assert not leader.outlier_table.ejections
+
+    def test_replicas_that_left_the_list_take_no_room(self) -> None:
+        """After a zone restarts under new names, its successors must be ejected."""
+        fleet = build_listed_fleet()
+        assert report_failures(fleet, "i-1")
+        assert report_failures(fleet, "i-2")
+        assert report_failures(fleet, "i-3") == []
+        for name in ("i-1", "i-2"):
+            del fleet.platform.replicas[name]
+        fleet.platform.add("i-7", "10.9.9.7:80")
+        fleet.run(1.5)
+        assert report_failures(fleet, "i-3")
+        assert report_failures(fleet, "i-2") == []
+
+    def test_replicas_of_evacuated_zones_make_no_room(self) -> None:
+        """A third of all replicas is half of those that are left."""
+        fleet = build_listed_fleet()
+        state = fleet.hosts[get_leader(fleet)].state
+        for name in ("i-0", "i-5"):
+            replica = fleet.platform.replicas[name]
+            fleet.platform.replicas[name] = evolve(replica, availability_zone="b")
+        fleet.run(1.5)
+        state.control.replicated.evacuations.set_evacuated("b", True)
+        assert report_failures(fleet, "i-5") == []
+        assert report_failures(fleet, "i-1")
+        assert report_failures(fleet, "i-2") == []
+
+    def test_cold_replicas_make_no_room(self) -> None:
+        """They take few calls of those that are ejected."""
+        fleet = build_listed_fleet()
+        state = fleet.hosts[get_leader(fleet)].state
+        state.limit_table.cold_limits = {"i-0": 9.0, "i-5": 9.0}
+        assert report_failures(fleet, "i-1")
+        assert report_failures(fleet, "i-2") == []
+
+
+class TestFailures:
+    def test_a_new_leader_starts_empty_and_ejections_end_by_routers_clocks(
+        self,
+    ) -> None:
+        """Ejections must neither be lost with the leader nor last without one."""
+        fleet = build_listed_fleet()
+        assert report_failures(fleet, "i-1")
+        fleet.run(0.1)
+        told_at = fleet.now
+        gateways = [get_gateway(item.state) for item in fleet.routers]
+        listed = [list(item.registry.replicas.values()) for item in gateways]
+        fleet.crash(get_leader(fleet))
+        while fleet.find_leader() is None:
+            fleet.run(0.01)
+        leader = fleet.hosts[get_leader(fleet)].state
+        assert not leader.outlier_table.ejections
+        for gateway, replicas in zip(gateways, listed, strict=True):
+            outliers = gateway.outliers
+            sound = outliers.prefer_sound(replicas, True, told_at)
+            assert {x.name for x in replicas} - {x.name for x in sound} == {"i-1"}
+            later = told_at + FIRST_EJECTION
+            assert outliers.prefer_sound(replicas, True, later) == replicas
+
+    def test_reports_of_a_router_that_is_cut_off_eject_nothing(self) -> None:
+        """It alone fails to reach the replicas, which serve all others."""
+        fleet = build_listed_fleet()
+        for _ in range(10):
+            for name in ("i-1", "i-2", "i-3"):
+                assert report_failures(fleet, name, routers=1) == []
+            fleet.run(0.1)
+        for item in fleet.routers:
+            assert not get_gateway(item.state).outliers.avoided_until
+
+
 class TestRouters:
     def test_calls_avoid_an_outlier_until_its_time_has_passed(self) -> None:
         state = build_enabled_gateway()
@@ -164,6 +271,75 @@
         reduce(OutliersChanged("c", everything), state, NOW)
         assert send_to(state, "first", NOW)
 
+    def test_the_load_bound_includes_the_outliers(self) -> None:
+        """A third of idle outliers let the others' bound rise to 2.4 times the mean."""
+        state = build_enabled_gateway()
+        gateway = get_gateway(state)
+        home = send_to(state, "first", NOW)
+        others = [f"engines-{n}" for n in (1, 2, 3) if f"engines-{n}" != home]
+        reduce(OutliersChanged("c", {home: 2.0}), state, NOW)
+        second = send_to(state, "second", NOW)
+        (third,) = set(others) - {second}
+        # The mean of all three is 10, so that 19 calls at most are allowed.
+        for name, calls in ((home, 0), (second, 19), (third, 11)):
+            gateway.registry.get_load(name).record_report(calls, NOW)
+            gateway.registry.get_load(name).own_calls = calls
+        assert send_to(state, "fourth", NOW) == third
+
+    def test_a_replica_that_is_returning_is_preferred_to_an_outlier(self) -> None:
+        """Where the others fail calls, waiting for the ramp would lose them."""
+        state = build_enabled_gateway()
+        gateway = get_gateway(state)
+        cold = gateway.limits.cold
+        listed = gateway.registry.replicas
+        cold.update({"engines-1": 1.0}, listed, NOW)
+        cold.update({}, listed, NOW)
+        avoided = {"engines-2": 2.0, "engines-3": 2.0}
+        reduce(OutliersChanged("c", avoided), state, NOW)
+        assert send_to(state, "first", NOW) == "engines-1"
+
+
+def build_listed_fleet() -> ListedFleet:
+    """Return a fleet of four routers that know six replicas."""
+    platform = Platform()
+    for number in range(6):
+        platform.add(f"i-{number}")
+    fleet = ListedFleet(3, 1, seed_host_count=3, router_count=4, platform=platform)
+    started_at = fleet.now
+    while not fleet.has_current_lists():
+        assert fleet.now < started_at + 10.0
+        fleet.run(0.1)
+    fleet.run(2.0)
+    return fleet
+
+
+def get_leader(fleet: ListedFleet) -> int:
+    """Return the number of the leader."""
+    leader = fleet.find_leader()
+    assert leader is not None
+    return leader
+
+
+def report_failures(
+    fleet: ListedFleet, replica: str, routers: int = 2
+) -> list[dict[str, float]]:
+    """Report failures to the leader; return the ejections of which it tells routers.
+
+    The notices are delivered to the routers.
+    """
+    number, report = get_leader(fleet), FailureReport(replica, "engines", 5, 5, 1.0)
+    told = []
+    for router in fleet.routers[:routers]:
+        event = ReplicaFailuresReported("r", router.address, report)
+        state = fleet.hosts[number].state
+        for effect in reduce(event, state, fleet.now):
+            if isinstance(effect, SendMessage):
+                assert isinstance(effect.message, OutliersChanged)
+                told.append(effect.message.ejected)
+                target = next(x for x in fleet.routers if x.address == effect.address)
+                reduce(effect.message, target.state, fleet.now)
+    return told
+
 
 def build_enabled_gateway() -> State:
     """Return a router whose settings ask it to share outcomes."""
