--- a/gentianworks/core/evacuations/control.py
+++ b/gentianworks/core/evacuations/control.py
@@ -18,18 +18,17 @@
     EvacuationsChanged,
 )
 from gentianworks.core.events.membership import Heartbeat
+from gentianworks.core.membership.routers import notify_routers
 from gentianworks.core.operators.audit import AuditAction
 from gentianworks.core.operators.audited_actions import record_action
 from gentianworks.core.operators.read_requests import refuse_pending_request
 from gentianworks.core.operators.reports import EvacuationReport
 from gentianworks.core.reducer import reduce
-from gentianworks.core.replication.elections import is_leading
 from gentianworks.core.replication.proposals import propose
 from gentianworks.core.replication.replicated_state import ReplicatedState
 from gentianworks.core.state import State
 from gentianworks.core.types import Problem, ProblemKind
 
-MAX_NOTIFIED_ROUTERS = 64  # by a push; other routers are told after a heartbeat
 RETRY_AFTER = 1.0  # seconds
 # Seconds; an operator sends the order to another host after 1 s, by when this host's
 # refusal has arrived. A host that proposed it for longer could undo an order that was
@@ -87,7 +86,9 @@
     outcome: EvacuationSet, command: Command, state: State, now: float
 ) -> list[Effect]:
     assert isinstance(command, SetEvacuation)
-    effects = _notify_routers(state, now) if outcome.is_changed else []
+    effects = (
+        notify_routers(_build_notice(state), state, now) if outcome.is_changed else []
+    )
     if outcome.is_stale:
         return _repeat_order(command, state, now)
     request = state.operators.pending_requests.pop(command.exchange, None)
@@ -129,14 +130,6 @@
     return [SendMessage(event.peer_address, _build_notice(state))]
 
 
-def _notify_routers(state: State, now: float) -> list[Effect]:
-    if not is_leading(state, now):
-        return []
-    notice = _build_notice(state)
-    routers = list(state.router_heartbeats)[:MAX_NOTIFIED_ROUTERS]
-    return [SendMessage(address, notice) for address in routers]
-
-
 def _build_notice(state: State) -> EvacuationsChanged:
     evacuations = state.control.replicated.evacuations
     zones = tuple(evacuations.zones)
--- a/gentianworks/core/quarantine/replica_crashes.py
+++ b/gentianworks/core/quarantine/replica_crashes.py
@@ -23,6 +23,7 @@
     ReplicaTrialWanted,
     SuspectsServed,
 )
+from gentianworks.core.membership.routers import notify_routers
 from gentianworks.core.quarantine.replica_suspects import ReplicaSuspect
 from gentianworks.core.reducer import reduce
 from gentianworks.core.replication.elections import is_leading
@@ -31,8 +32,6 @@
 from gentianworks.core.state import State
 from gentianworks.core.types import Role
 
-MAX_NOTIFIED_ROUTERS = 64  # by a push; other routers are told after a heartbeat
-
 
 @reduce.register
 def _(event: ReplicaCrashReported, state: State, now: float) -> list[Effect]:
@@ -67,7 +66,7 @@
     assert isinstance(command, CountReplicaCrash)
     effects: list[Effect] = []
     if outcome.is_changed:
-        effects += _notify_routers(state, now)
+        effects += notify_routers(_build_notice(state), state, now)
     if is_leading(state, now):
         effects += [
             LogEvent("GW3005", _describe(item, command.replica))
@@ -110,7 +109,7 @@
     if not outcome.released or not is_leading(state, now):
         return []
     logs = [LogEvent("GW3006", _describe(item, "")) for item in outcome.released]
-    return [*logs, *_notify_routers(state, now)]
+    return [*logs, *notify_routers(_build_notice(state), state, now)]
 
 
 def offer_due_trials(state: State, now: float) -> list[Effect]:
@@ -134,7 +133,9 @@
 def _(
     outcome: ReplicaTrialsOffered, command: Command, state: State, now: float
 ) -> list[Effect]:
-    return _notify_routers(state, now) if outcome.is_changed else []
+    return (
+        notify_routers(_build_notice(state), state, now) if outcome.is_changed else []
+    )
 
 
 @reduce.register
@@ -163,7 +164,9 @@
 def _(
     outcome: ReplicaTrialDecided, command: Command, state: State, now: float
 ) -> list[Effect]:
-    return _notify_routers(state, now) if outcome.is_granted else []
+    return (
+        notify_routers(_build_notice(state), state, now) if outcome.is_granted else []
+    )
 
 
 def send_newer_replica_suspects(event: Heartbeat, state: State) -> list[Effect]:
@@ -174,14 +177,6 @@
     return [SendMessage(event.peer_address, _build_notice(state))]
 
 
-def _notify_routers(state: State, now: float) -> list[Effect]:
-    if not is_leading(state, now):
-        return []
-    notice = _build_notice(state)
-    routers = list(state.router_heartbeats)[:MAX_NOTIFIED_ROUTERS]
-    return [SendMessage(address, notice) for address in routers]
-
-
 def _build_notice(state: State) -> ReplicaSuspectsChanged:
     registry = state.control.replicated.replica_suspects
     return ReplicaSuspectsChanged(
