Count a host that accepts no connection as a failed replica

Such a failure now counts among the outcomes that the routers share. A refused connection still doesn't: a full replica refuses too. The new test failed for the silent host before (nothing was reported).

--- a/gentianworks/core/cold_replicas/routers.py
+++ b/gentianworks/core/cold_replicas/routers.py
@@ -13,7 +13,9 @@
 from gentianworks.core.reducer import reduce
 from gentianworks.core.state import State
 
-LOSSES = frozenset({ReplicaFailure.CUT, ReplicaFailure.NOT_SENT})
+LOSSES = frozenset(
+    {ReplicaFailure.CUT, ReplicaFailure.NOT_SENT, ReplicaFailure.UNREACHABLE}
+)
 
 
 def update_cold_replicas(gateway: GatewayState, now: float) -> list[Effect]:
--- a/gentianworks/core/events/gateway.py
+++ b/gentianworks/core/events/gateway.py
@@ -132,6 +132,7 @@
     """
 
     NOT_SENT = "not-sent"
+    UNREACHABLE = "unreachable"  # not sent either; the replica's host is silent
     CUT = "cut"
     MALFORMED = "malformed"
     UNSENDABLE = "unsendable"
--- a/gentianworks/core/gateway/attempts.py
+++ b/gentianworks/core/gateway/attempts.py
@@ -37,6 +37,7 @@
 MAX_UNSENT_ATTEMPTS = 3  # unreachable replicas per call, besides its max_attempts
 MIN_FAILURE_STATUS = 500
 BLAMELESS_FAILURES = frozenset({ReplicaFailure.UNSENDABLE, ReplicaFailure.INTERNAL})
+UNSENT_FAILURES = frozenset({ReplicaFailure.NOT_SENT, ReplicaFailure.UNREACHABLE})
 NOT_RUN_STATUSES = frozenset(
     {408, 421, 429, 503}
 )  # a caller infers "not run" from them
@@ -322,12 +323,14 @@
         return _fail_defective_attempt(exchange, event.detail, state, now)
     if event.failure in BLAMELESS_FAILURES:
         return _fail_blameless_attempt(exchange, event, gateway, now)
-    is_unsent = event.failure is ReplicaFailure.NOT_SENT
+    is_unsent = event.failure in UNSENT_FAILURES
     run_state = RunState.NOT_RUN if is_unsent else RunState.UNKNOWN
     lost: list[Effect] = []
     if exchange.replica is not None:
         gateway.backoff.record_failure(exchange.replica.name, now)
         lost += record_lost_connection(exchange.replica, event.failure, gateway, now)
+        if event.failure is ReplicaFailure.UNREACHABLE:
+            lost += record_outcome(exchange.replica, True, state, now)
         if event.failure is ReplicaFailure.CUT and not exchange.has_received_piece:
             lost += record_lost_call(
                 exchange.call,
--- a/gentianworks/platform/replicas.py
+++ b/gentianworks/platform/replicas.py
@@ -174,7 +174,11 @@
             connection = await self.pool.connect(effect.replica.address)
         except (OSError, TimeoutError) as error:
             detail = f"{effect.replica.address} accepted no connection ({error!r})"
-            failed = ReplicaCallFailed(effect.attempt, ReplicaFailure.NOT_SENT, detail)
+            is_silent = isinstance(error, TimeoutError)
+            failure = (
+                ReplicaFailure.UNREACHABLE if is_silent else ReplicaFailure.NOT_SENT
+            )
+            failed = ReplicaCallFailed(effect.attempt, failure, detail)
             process.handle(failed)
         else:
             closed = ReplicaDisconnected(effect.replica.name)
--- a/gentianworks/tests/test_outliers.py
+++ b/gentianworks/tests/test_outliers.py
@@ -4,11 +4,16 @@
 
 import random
 
+import pytest
 from attrs import evolve
 
 from gentianworks.core.effects.gateway import CallReplica
 from gentianworks.core.effects.lifecycle import SendMessage
-from gentianworks.core.events.gateway import ReplicaListFetched
+from gentianworks.core.events.gateway import (
+    ReplicaCallFailed,
+    ReplicaFailure,
+    ReplicaListFetched,
+)
 from gentianworks.core.events.outliers import OutliersChanged, ReplicaFailuresReported
 from gentianworks.core.handlers import reduce
 from gentianworks.core.outliers.known import PROBATION
@@ -155,6 +160,22 @@
         )
         assert not [item for item in effects if isinstance(item, SendMessage)]
 
+    @pytest.mark.parametrize(
+        ("failure", "is_reported"),
+        [(ReplicaFailure.UNREACHABLE, True), (ReplicaFailure.NOT_SENT, False)],
+    )
+    def test_a_silent_host_is_reported_but_not_a_refused_connection(
+        self, failure: ReplicaFailure, is_reported: bool
+    ) -> None:
+        """Each router waited for a silent host itself; a full replica refuses too."""
+        state = build_enabled_gateway()
+        state.fleet.leader_address = "tcp://leader"
+        sent = get_effect(CallReplica, send_call(state))
+        effects = reduce(ReplicaCallFailed(sent.attempt, failure), state, NOW)
+        messages = [x.message for x in effects if isinstance(x, SendMessage)]
+        reports = [x for x in messages if isinstance(x, ReplicaFailuresReported)]
+        assert bool(reports) == is_reported
+
     def test_nothing_is_reported_where_the_settings_do_not_ask_for_it(self) -> None:
         state = build_gateway()
         state.fleet.leader_address = "tcp://leader"
