--- a/gentianworks/tests/test_gateway_placement.py
+++ b/gentianworks/tests/test_gateway_placement.py
@@ -112,19 +112,17 @@
         state = build_gateway(5)
         assert place(state, "ewe", "x1").source is None
 
-    def test_a_home_fetches_the_parts_that_many_subjects_share_if_asked_to(
-        self,
-    ) -> None:
+    def test_a_home_on_a_shared_machine_fetches_what_others_have(self) -> None:
         """Each home read the shared beginning anew for the first of its subjects."""
         state = build_gateway(5)
-        get_gateway(state).fetches_prefixes = True
+        get_gateway(state).speeds.record_figure("engines-1", "engines", 100, NOW)
         sent = place(state, "ewe", "x1")
         assert sent.source is not None
         assert sent.source != sent.replica
 
     def test_a_single_replica_has_no_source(self) -> None:
         state = build_gateway(1)
-        get_gateway(state).fetches_prefixes = True
+        get_gateway(state).speeds.record_figure("engines-1", "engines", 100, NOW)
         assert place(state, "ewe", "x1").source is None
 
     def test_a_spilled_call_fetches_from_the_preferred_replica(self) -> None:
