--- a/gentianworks/core/placement/choice.py
+++ b/gentianworks/core/placement/choice.py
@@ -19,9 +19,6 @@
 from gentianworks.core.types import ServiceName
 
 SPILL_MULTIPLE = 1.6  # of the mean load; leaves room below the bound of twice the mean
-# Times the service's, or a fraction of it; a smaller difference moves no cached prompt,
-# since a move costs more than that, and speeds change many times a second.
-SPILL_SLOWNESS = 1.5
 SPILL_FLOOR = 3.0  # calls; the load bound allows as many above its multiple
 
 
@@ -159,8 +156,6 @@
         calls[item.name] = gateway.registry.get_load(item.name).estimate(now) + 1
         speed = gateway.speeds.compute_cost_factor(item.name, item.service, now)
         run_times[item.name] = speed
-        if call.affinity_key and 1 / SPILL_SLOWNESS <= speed <= SPILL_SLOWNESS:
-            speed = 1.0
         factors[item.name] = _combine_with_health(speed, item, gateway, now)
     _add_avoided(calls, counted, gateway, now)
     costs = {name: count * factors.get(name, 1.0) for name, count in calls.items()}
