--- a/gentianworks/core/gateway/state.py
+++ b/gentianworks/core/gateway/state.py
@@ -97,6 +97,8 @@
     crashes: CrashTracker = field(factory=CrashTracker)
     limits: ReplicaLimits = field(factory=ReplicaLimits)
     outliers: KnownOutliers = field(factory=KnownOutliers)
+    # Whether the replica that a prompt belongs to also fetches what it lacks of it.
+    fetches_prefixes: bool = False
     # By service, while some of its replicas limit their requests.
     rank_demands: dict[ServiceName, RankDemand] = field(factory=dict)
 
--- a/gentianworks/core/placement/prompt_sources.py
+++ b/gentianworks/core/placement/prompt_sources.py
@@ -4,9 +4,9 @@
 prompt. Fetching the prompt's cache from the replica that has it takes a fraction of
 the time to process the prompt again.
 
-A prompt's home fetches too, where replicas report that they share their machines: it
-lacks the prompt of a subject that is new or was evicted, but the parts that many
-subjects share are at any other replica.
+A prompt's home fetches too, where the settings or the replicas' reports tell that
+replicas share their machines: it lacks the prompt of a subject that is new or was
+evicted, but the parts that many subjects share are at any other replica.
 """
 
 from __future__ import annotations
@@ -31,7 +31,7 @@
         item for item in reachable if not gateway.registry.is_warming_up(item.name, now)
     ]
     order = order_by_score(call.affinity_key, warm)
-    if gateway.speeds.is_reported(replica.service):
+    if gateway.fetches_prefixes or gateway.speeds.is_reported(replica.service):
         order = [
             item
             for item in gateway.outliers.prefer_sound(order, False, now)
--- a/gentianworks/platform/runner.py
+++ b/gentianworks/platform/runner.py
@@ -187,6 +187,7 @@
         retry_ratio=settings.retry_ratio,
         retry_slack=settings.retry_slack,
         outliers=KnownOutliers(is_enabled=settings.is_contended),
+        fetches_prefixes=settings.is_contended,
     )
 
 
--- a/gentianworks/tests/test_gateway_placement.py
+++ b/gentianworks/tests/test_gateway_placement.py
@@ -120,6 +120,12 @@
         assert sent.source is not None
         assert sent.source != sent.replica
 
+    def test_a_home_fetches_what_others_have_if_the_settings_ask_for_it(self) -> None:
+        """Replicas that report no slowness left each home to read all of a prompt."""
+        state = build_gateway(5)
+        get_gateway(state).fetches_prefixes = True
+        assert place(state, "ewe", "x1").source is not None
+
     def test_a_single_replica_has_no_source(self) -> None:
         state = build_gateway(1)
         get_gateway(state).speeds.record_figure("engines-1", "engines", 100, NOW)
